--- /dev/null
+++ b/pimentogap/kernel/__init__.py
@@ -0,0 +1,7 @@
+"""The micro-kernel: services by name, ordered start and stop, tasks, the clock."""
+
+from pimentogap.kernel._clock import Clock
+from pimentogap.kernel._kernel import Kernel
+from pimentogap.kernel._tasks import LogOnError, RestartOnError, StopKernelOnError
+
+__all__ = ["Clock", "Kernel", "LogOnError", "RestartOnError", "StopKernelOnError"]
--- /dev/null
+++ b/pimentogap/kernel/_clock.py
@@ -0,0 +1,40 @@
+"""The clock of the runtime."""
+
+import asyncio
+import time
+
+
+class Clock:
+    """Time as the running event loop counts it.
+
+    Tests run on an event loop whose time is paused and advanced; nothing in
+    the package reads another clock.
+    """
+
+    __slots__ = ("_wall_origin_s",)
+
+    def __init__(self, *, wall_origin_s=None):
+        """Bind wall time to the loop's time.
+
+        :param wall_origin_s: seconds since the epoch at loop time zero; the
+            host's wall clock decides when it is left out.
+        """
+        if wall_origin_s is None:
+            wall_origin_s = time.time() - time.monotonic()
+        self._wall_origin_s = wall_origin_s
+
+    def time(self):
+        """Return the loop's monotonic time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def wall(self):
+        """Return seconds since the epoch, for records that people read."""
+        return self._wall_origin_s + self.time()
+
+    async def sleep(self, delay_s):
+        """Suspend the calling task for ``delay_s`` seconds."""
+        await asyncio.sleep(delay_s)
+
+    def timeout(self, delay_s):
+        """Return a context manager that raises ``TimeoutError`` after ``delay_s``."""
+        return asyncio.timeout(delay_s)
--- /dev/null
+++ b/pimentogap/schema/__init__.py
@@ -0,0 +1,39 @@
+"""Shapes of documents: declared on data classes, checked whole, dumped back."""
+
+from pimentogap.schema._check import Problem, check, describe
+from pimentogap.schema._dump import dump
+from pimentogap.schema._shapes import (
+    Address,
+    Choice,
+    Duration,
+    Flag,
+    Integer,
+    Listing,
+    Number,
+    Record,
+    Size,
+    Text,
+    name_shape,
+    shaped,
+)
+from pimentogap.schema._yaml import read_yaml
+
+__all__ = [
+    "Address",
+    "Choice",
+    "Duration",
+    "Flag",
+    "Integer",
+    "Listing",
+    "Number",
+    "Problem",
+    "Record",
+    "Size",
+    "Text",
+    "check",
+    "describe",
+    "dump",
+    "name_shape",
+    "read_yaml",
+    "shaped",
+]
--- /dev/null
+++ b/pimentogap/settings/__init__.py
@@ -0,0 +1,21 @@
+"""Checked settings of the programs."""
+
+from pimentogap.settings._settings import (
+    CallerSettings,
+    DaemonSettings,
+    LogSettings,
+    PeerSettings,
+    Settings,
+    StoreSettings,
+    load_settings,
+)
+
+__all__ = [
+    "CallerSettings",
+    "DaemonSettings",
+    "LogSettings",
+    "PeerSettings",
+    "Settings",
+    "StoreSettings",
+    "load_settings",
+]
