Meet the platform's object API, with stand-ins for what the system meets

Cause: what must last goes through the platform's service, whose answers can be lost after a write took effect.

--- /dev/null
+++ b/pimentogap/store/__init__.py
@@ -0,0 +1,39 @@
+"""The platform's object API: typed calls, a client service, the HTTP transport."""
+
+from pimentogap.store._calls import (
+    Conflict,
+    Delete,
+    Get,
+    List,
+    ListVms,
+    NotWritten,
+    Page,
+    Put,
+    Stored,
+    Unsettled,
+    Watch,
+    Written,
+)
+from pimentogap.store._client import StoreClient
+from pimentogap.store._http import HttpTransport
+from pimentogap.store._snapshots import Snapshot, SnapshotCollection, object_name
+
+__all__ = [
+    "Conflict",
+    "Delete",
+    "Get",
+    "HttpTransport",
+    "List",
+    "ListVms",
+    "NotWritten",
+    "Page",
+    "Put",
+    "Snapshot",
+    "SnapshotCollection",
+    "StoreClient",
+    "Stored",
+    "Unsettled",
+    "Watch",
+    "Written",
+    "object_name",
+]
--- /dev/null
+++ b/pimentogap/store/_calls.py
@@ -0,0 +1,94 @@
+"""The calls of the platform's object API and their answers, free of encoding."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Get:
+    """Read one object."""
+
+    collection: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write one object if its version is still ``version`` (0: it must not exist)."""
+
+    collection: str
+    name: str
+    value: object
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Delete one object if its version is still ``version``."""
+
+    collection: str
+    name: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class List:
+    """Read up to ``limit`` objects of a collection, by name, after ``after``."""
+
+    collection: str
+    after: str = ""
+    limit: int = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Wait up to ``wait_s`` seconds for changes after the store's ``revision``."""
+
+    collection: str
+    revision: int
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ListVms:
+    """Read the platform's list of VMs, which lags."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """An object as the store holds it; ``value`` is ``None`` once deleted."""
+
+    name: str
+    version: int
+    value: object
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Objects and the store's revision at which they were read."""
+
+    items: tuple
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The write took effect and gave the object this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """The write did not take effect; ``current`` is what stands there, if anything."""
+
+    current: Stored | None
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """The write was given up and certainly did not take effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unsettled:
+    """The write was given up and may have taken effect, now or a little later."""
--- /dev/null
+++ b/pimentogap/store/_client.py
@@ -0,0 +1,191 @@
+"""The service through which everything reaches the platform's object API."""
+
+from pimentogap.errors import StoreAnswerLost, StoreUnavailable
+from pimentogap.store._calls import (
+    Conflict,
+    Delete,
+    Get,
+    List,
+    ListVms,
+    NotWritten,
+    Put,
+    Unsettled,
+    Watch,
+    Written,
+)
+
+CALL_TIMEOUT_S = 1.0
+RETRY_BASE_S = 0.05
+RETRY_LIMIT_S = 1.0
+BREAKER_FAILURES = 5
+BREAKER_OPEN_S = 0.5
+READ_GIVE_UP_S = 3.0
+PAGE_OBJECTS = 500
+
+
+class Breaker:
+    """Refuses calls for a while after several in a row have failed."""
+
+    __slots__ = ("_clock", "_failures", "_open_until")
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._failures = 0
+        self._open_until = 0.0
+
+    def admit(self):
+        """Raise `StoreUnavailable` while the breaker is open."""
+        if self._clock.time() < self._open_until:
+            raise StoreUnavailable("the store has failed several calls in a row")
+
+    def succeeded(self):
+        """Close the breaker."""
+        self._failures = 0
+
+    def failed(self):
+        """Count a failure; open the breaker at the limit."""
+        self._failures += 1
+        if self._failures >= BREAKER_FAILURES:
+            self._open_until = self._clock.time() + BREAKER_OPEN_S
+
+
+class StoreClient:
+    """Calls the platform's object API with deadlines, jittered retries and a breaker.
+
+    Every call and every waiting watch is counted in ``calls_by_kind``.
+    """
+
+    name = "store"
+    requires = ()
+    __slots__ = (
+        "_transport",
+        "_kernel",
+        "_breaker",
+        "calls_by_kind",
+        "last_answer_at",
+        "_timeout_s",
+    )
+
+    def __init__(self, transport, *, timeout_s=CALL_TIMEOUT_S):
+        """Bind the client to a transport.
+
+        :param transport: an object with ``call(call, *, timeout_s)``.
+        :param timeout_s: seconds that one call may take.
+        """
+        self._transport = transport
+        self._timeout_s = timeout_s
+        self._kernel = None
+        self._breaker = None
+        self.calls_by_kind = {}
+        self.last_answer_at = None
+
+    async def start(self, kernel):
+        """Take the clock and the random numbers of ``kernel``."""
+        self._kernel = kernel
+        self._breaker = Breaker(kernel.clock)
+
+    async def stop(self):
+        """Do nothing; calls under way belong to their callers."""
+
+    async def get(self, collection, name):
+        """Return the `Stored` object, or ``None`` if there is none.
+
+        :raises StoreUnavailable: if no answer came before the limit.
+        """
+        return await self._read(Get(collection, name))
+
+    async def list(self, collection, *, after="", limit=None):
+        """Return objects of ``collection``, by name, and the store's revision.
+
+        :param after: only names that sort after this one.
+        :param limit: at most so many; all by default.
+        """
+        items = []
+        while True:
+            page = await self._read(List(collection, after, limit or PAGE_OBJECTS))
+            items.extend(page.items)
+            if limit is not None or len(page.items) < PAGE_OBJECTS:
+                return items, page.revision
+            after = page.items[-1].name
+
+    async def vms(self):
+        """Return the platform's list of VMs as plain data."""
+        return await self._read(ListVms())
+
+    async def watch(self, collection, revision, wait_s):
+        """Return the changes after ``revision``, waiting up to ``wait_s`` for one.
+
+        :raises WatchCompacted: if the history does not reach back that far.
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        try:
+            return await self._call(Watch(collection, revision, wait_s))
+        except StoreAnswerLost as error:
+            raise StoreUnavailable(str(error))
+
+    async def write(self, call, *, give_up_after_s):
+        """Carry out a `Put` or `Delete` until its outcome is known.
+
+        A lost answer is settled by repeating the conditional write: it either
+        takes effect now, or conflicts with the value of the earlier attempt.
+
+        :param give_up_after_s: seconds after which no further attempt is made.
+        :return: `Written`, `Conflict`, `NotWritten` or `Unsettled`.
+        """
+        clock = self._kernel.clock
+        deadline = clock.time() + give_up_after_s
+        uncertain = False
+        attempt = 0
+        while True:
+            try:
+                return self._settled(call, await self._call(call), uncertain)
+            except StoreAnswerLost:
+                uncertain = True
+            except StoreUnavailable:
+                pass
+            delay_s = self._backoff(attempt)
+            attempt += 1
+            if clock.time() + delay_s >= deadline:
+                return Unsettled() if uncertain else NotWritten()
+            await clock.sleep(delay_s)
+
+    def _settled(self, call, answer, uncertain):
+        match call, answer:
+            case Put(), Conflict(current) if (
+                uncertain and current is not None and current.value == call.value
+            ):
+                return Written(current.version)
+            case Delete(), Conflict(None) if uncertain:
+                return Written(0)
+        return answer
+
+    async def _read(self, call):
+        clock = self._kernel.clock
+        deadline = clock.time() + READ_GIVE_UP_S
+        attempt = 0
+        while True:
+            try:
+                return await self._call(call)
+            except (StoreAnswerLost, StoreUnavailable) as error:
+                delay_s = self._backoff(attempt)
+                attempt += 1
+                if clock.time() + delay_s >= deadline:
+                    raise StoreUnavailable(str(error))
+                await clock.sleep(delay_s)
+
+    async def _call(self, call):
+        self._breaker.admit()
+        kind = type(call).__name__
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+        try:
+            answer = await self._transport.call(call, timeout_s=self._timeout_s)
+        except (StoreAnswerLost, StoreUnavailable):
+            self._breaker.failed()
+            raise
+        self._breaker.succeeded()
+        self.last_answer_at = self._kernel.clock.time()
+        return answer
+
+    def _backoff(self, attempt):
+        limit_s = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**attempt)
+        return limit_s * self._kernel.random.uniform(0.5, 1.0)
--- /dev/null
+++ b/pimentogap/web/_client.py
@@ -0,0 +1,249 @@
+"""An HTTP client with kept connections, on tornado's HTTP/1.1 connection."""
+
+import asyncio
+import json
+from collections import deque
+from dataclasses import dataclass, field
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+)
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from pimentogap.errors import ConnectionFailed, ResponseLost, ResponseTimeout
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 32
+MAX_BUFFERED_BODY_BYTES = 4 * 2**20
+MAX_HEADER_BYTES = 65536
+UNBOUNDED_BODY_BYTES = 2**60
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request to one address. ``headers`` maps names to values."""
+
+    method: str
+    path: str
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+
+
+class HttpResponse:
+    """A response read to its end."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        """Return the body as plain data.
+
+        :raises ResponseLost: if the body is not JSON.
+        """
+        try:
+            return json.loads(self.body)
+        except ValueError:
+            raise ResponseLost("the body of the response is not JSON")
+
+
+class BodyBuffer:
+    """Receives a response into memory, up to a limit."""
+
+    __slots__ = ("status", "headers", "_chunks", "_size")
+
+    def __init__(self):
+        self.status = 0
+        self.headers = None
+        self._chunks = []
+        self._size = 0
+
+    def headers_received(self, status, headers):
+        """Note the status and headers of the response."""
+        self.status = status
+        self.headers = headers
+
+    def data_received(self, chunk):
+        """Append a piece of the body.
+
+        :raises ResponseLost: if the body is larger than the limit.
+        """
+        self._size += len(chunk)
+        if self._size > MAX_BUFFERED_BODY_BYTES:
+            raise ResponseLost("the body of the response is too large")
+        self._chunks.append(chunk)
+
+    def response(self):
+        """Return the whole response."""
+        return HttpResponse(self.status, self.headers, b"".join(self._chunks))
+
+
+class _Delegate(HTTPMessageDelegate):
+    """Hands a response to a receiver; an error of the receiver ends the connection."""
+
+    __slots__ = ("receiver", "finished", "error", "keep", "_stream")
+
+    def __init__(self, receiver, stream):
+        self.receiver = receiver
+        self.finished = False
+        self.keep = True
+        self.error = None
+        self._stream = stream
+
+    def headers_received(self, start_line, headers):
+        if headers.get("Connection", "").lower() == "close":
+            self.keep = False
+        try:
+            self.receiver.headers_received(start_line.code, headers)
+        except Exception as error:
+            self._end(error)
+
+    async def data_received(self, chunk):
+        if self.error is not None:
+            return
+        try:
+            result = self.receiver.data_received(chunk)
+            if result is not None:
+                await result
+        except Exception as error:
+            self._end(error)
+
+    def finish(self):
+        self.finished = self.error is None
+
+    def on_connection_close(self):
+        self.finished = False
+
+    def _end(self, error):
+        self.error = error
+        self._stream.close()
+
+
+class HttpClient:
+    """Sends requests and keeps connections for later ones.
+
+    A receiver is an object with ``headers_received(status, headers)`` and
+    ``data_received(chunk)``; what the latter returns is awaited before more is
+    read, which holds the sender back.
+    """
+
+    __slots__ = ("_tcp_client", "_idle_by_address", "_parameters", "connections_opened")
+
+    def __init__(self):
+        self._tcp_client = None
+        self._idle_by_address = {}
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=UNBOUNDED_BODY_BYTES,
+        )
+        self.connections_opened = 0
+
+    async def fetch(self, address, request, *, timeout_s, fresh=False):
+        """Send ``request`` to ``address`` and return the whole `HttpResponse`.
+
+        :param timeout_s: seconds for the whole exchange.
+        :param fresh: open a connection for this request alone.
+        :raises ConnectionFailed: if nothing of the request was sent.
+        :raises ResponseLost: if the response did not arrive whole.
+        """
+        buffer = BodyBuffer()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.exchange(address, request, buffer, fresh=fresh)
+        except TimeoutError:
+            raise ResponseTimeout(f"no answer from {address} in {timeout_s:g} s")
+        return buffer.response()
+
+    async def exchange(self, address, request, receiver, *, fresh=False):
+        """Send ``request`` and hand the response to ``receiver`` as it arrives.
+
+        Cancelling the call closes the connection, which tells the server that
+        its answer is no longer wanted.
+
+        :raises ConnectionFailed: if nothing of the request was sent.
+        :raises ResponseLost: if the response ended before it was whole.
+        """
+        stream = None if fresh else self._take_idle(address)
+        if stream is None:
+            stream = await self._connect(address)
+        delegate = _Delegate(receiver, stream)
+        try:
+            await self._transfer(stream, address, request, delegate)
+        except ResponseLost:
+            stream.close()
+            raise delegate.error or ResponseLost(f"{address} closed the connection")
+        except BaseException:
+            stream.close()
+            raise
+        if not delegate.finished:
+            stream.close()
+            raise delegate.error or ResponseLost(f"{address} closed the connection")
+        if fresh or not delegate.keep or stream.closed():
+            stream.close()
+        else:
+            self._keep(address, stream)
+
+    def close(self):
+        """Close every kept connection."""
+        for idle in self._idle_by_address.values():
+            for stream in idle:
+                stream.close()
+        self._idle_by_address.clear()
+
+    async def _transfer(self, stream, address, request, delegate):
+        connection = HTTP1Connection(stream, True, self._parameters)
+        headers = HTTPHeaders(request.headers)
+        headers["Host"] = address
+        if request.body or request.method in ("POST", "PUT"):
+            headers["Content-Length"] = str(len(request.body))
+        line = RequestStartLine(request.method, request.path, "HTTP/1.1")
+        try:
+            await connection.write_headers(line, headers, request.body or None)
+            connection.finish()
+            await connection.read_response(delegate)
+        except StreamClosedError as error:
+            raise ResponseLost(f"{address} closed the connection: {error}")
+
+    async def _connect(self, address):
+        host, _, port = address.rpartition(":")
+        if self._tcp_client is None:
+            self._tcp_client = TCPClient()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                stream = await self._tcp_client.connect(host.strip("[]"), int(port))
+        except (OSError, TimeoutError, StreamClosedError) as error:
+            raise ConnectionFailed(f"no connection to {address}: {error!r}")
+        stream.set_nodelay(True)
+        self.connections_opened += 1
+        return stream
+
+    def _take_idle(self, address):
+        idle = self._idle_by_address.get(address)
+        while idle:
+            stream = idle.pop()
+            if not stream.closed():
+                stream.set_close_callback(None)
+                return stream
+        return None
+
+    def _keep(self, address, stream):
+        idle = self._idle_by_address.setdefault(address, deque())
+        if len(idle) >= MAX_IDLE_CONNECTIONS:
+            stream.close()
+            return
+        idle.append(stream)
+
+        def forget():
+            try:
+                idle.remove(stream)
+            except ValueError:
+                pass
+
+        stream.set_close_callback(forget)
--- /dev/null
+++ b/standins/_plain.py
@@ -0,0 +1,88 @@
+"""A stand-in for a plain service with actions that may not be repeated."""
+
+import asyncio
+import hashlib
+import json
+from dataclasses import dataclass
+
+from standins._network import AbandonConnection, split_path
+
+
+@dataclass(frozen=True, slots=True)
+class ActionRun:
+    """One action that the service carried out."""
+
+    key: str
+    path: str
+    body_digest: str
+
+
+class PlainBook:
+    """What every server of one plain service shares: the record of its actions."""
+
+    __slots__ = ("runs", "delay_s", "lose_answers", "refuse_next", "lookups")
+
+    def __init__(self):
+        self.runs = []
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.refuse_next = 0
+        self.lookups = 0
+
+
+class PlainServer:
+    """One backend server of a plain service."""
+
+    __slots__ = ("id", "book", "up", "slow_s")
+
+    def __init__(self, server_id, book):
+        self.id = server_id
+        self.book = book
+        self.up = True
+        self.slow_s = 0.0
+
+    async def handle(self, request, reply):
+        """Answer one HTTP request of the plain service."""
+        if not self.up:
+            raise AbandonConnection
+        path, query = split_path(request)
+        if path.startswith("/actions/"):
+            await self._run_action(request, path, reply)
+        elif path == "/status":
+            ran = any(run.key == query.get("key") for run in self.book.runs)
+            await self._answer(reply, 200, {"ran": ran})
+        else:
+            await self._look_up(path, reply)
+
+    async def _run_action(self, request, path, reply):
+        book = self.book
+        if book.refuse_next > 0:
+            book.refuse_next -= 1
+            reply.start(503, {"X-Run-State": "not_run", "Content-Length": "0"})
+            return
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        digest = hashlib.sha256(request.body).hexdigest()
+        key = headers.get("idempotency-key", "")
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        book.runs.append(ActionRun(key, path, digest))
+        number = len(book.runs)
+        if book.delay_s:
+            await asyncio.sleep(book.delay_s)
+        if book.lose_answers > 0:
+            book.lose_answers -= 1
+            raise AbandonConnection
+        await self._answer(
+            reply, 200, {"confirmation": number, "key": key, "request": digest}
+        )
+
+    async def _look_up(self, path, reply):
+        self.book.lookups += 1
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        await self._answer(reply, 200, {"path": path, "server": self.id})
+
+    async def _answer(self, reply, status, data):
+        body = json.dumps(data).encode()
+        reply.start(status, {"Content-Length": str(len(body))})
+        await reply.data(body)
