--- /dev/null
+++ b/pimentogap/fleet/_service.py
@@ -0,0 +1,186 @@
+"""The service that knows the VMs, the assignments and the backend servers."""
+
+from logbook import Logger
+
+from pimentogap.errors import StoreError, WatchCompacted
+from pimentogap.kernel import RestartOnError
+from pimentogap.peers import VmLeaving
+from pimentogap.schema import check
+from pimentogap.types import Assignment, BackendServer, Vm, VmState
+
+log = Logger("fleet")
+
+ASSIGNMENTS = "assignments"
+VM_LIST_INTERVAL_S = 0.5
+WATCH_WAIT_S = 2.0
+RETRY_DELAY_S = 0.5
+
+
+class FleetService:
+    """Holds what is known of VMs and model groups, and passes it on.
+
+    The daemons that follow the store for their availability zone read the
+    platform's list and the assignments; the others learn from their peers.
+    """
+
+    name = "fleet"
+    requires = ("store", "configuration", "peers")
+    __slots__ = (
+        "vms_by_id",
+        "vms_read_at",
+        "assignments_by_region",
+        "versions_by_region",
+        "_leaving_incarnations_by_vm",
+        "_kernel",
+        "_subscribers",
+    )
+
+    def __init__(self):
+        self.vms_by_id = {}
+        self.vms_read_at = None
+        self.assignments_by_region = {}
+        self.versions_by_region = {}
+        self._leaving_incarnations_by_vm = {}
+        self._kernel = None
+        self._subscribers = []
+
+    async def start(self, kernel):
+        """Begin to follow the VM list and the assignments."""
+        self._kernel = kernel
+        peers = kernel.get("peers")
+        peers.subscribe_objects(self._take_object)
+        peers.subscribe_leaving(self._take_leaving)
+        kernel.get("configuration").subscribe(lambda accepted: self._announce())
+        kernel.spawn(self.name, self._follow_vms, on_error=RestartOnError())
+        kernel.spawn(self.name, self._follow_assignments, on_error=RestartOnError())
+
+    async def stop(self):
+        """Do nothing; the tasks are cancelled by the kernel."""
+
+    def subscribe(self, callback):
+        """Call ``callback()`` whenever backend servers may have changed."""
+        self._subscribers.append(callback)
+
+    def assignments(self):
+        """Return every `Assignment` that is known."""
+        return [
+            assignment
+            for assignments in self.assignments_by_region.values()
+            for assignment in assignments
+        ]
+
+    def backend_servers(self):
+        """Return the backend servers of every service by their ids."""
+        found = {}
+        for assignment in self.assignments():
+            server = BackendServer(
+                id=f"{assignment.group}/{assignment.generation}",
+                service=assignment.service,
+                address=assignment.head.address,
+                availability_zone=assignment.availability_zone,
+                generation=assignment.generation,
+            )
+            found[server.id] = server
+        plain = self._kernel.get("configuration").current.by_name("plain_service")
+        for service in plain.values():
+            for backend in service.backends:
+                server = BackendServer(
+                    id=f"{service.name}/{backend.vm}",
+                    service=service.name,
+                    address=backend.address,
+                    availability_zone=backend.availability_zone,
+                )
+                found[server.id] = server
+        return found
+
+    def is_leaving(self, vm_id, incarnation=None):
+        """Return whether a VM is to get no new work.
+
+        :param incarnation: the incarnation that is meant; any if left out.
+        """
+        configuration = self._kernel.get("configuration").current
+        if configuration.get("planned_stop", vm_id) is not None:
+            return True
+        left = self._leaving_incarnations_by_vm.get(vm_id)
+        return left is not None and (incarnation is None or incarnation <= left)
+
+    async def read_vms(self):
+        """Read the platform's list and return the VMs by id.
+
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        listed = await self._kernel.get("store").vms()
+        self.vms_by_id = {data["id"]: check(Vm, data) for data in listed}
+        self.vms_read_at = self._kernel.clock.time()
+        for vm in self.vms_by_id.values():
+            if vm.state == VmState.LEAVING:
+                entry = VmLeaving(vm.id, vm.incarnation)
+                if self._take_leaving(entry):
+                    self._kernel.get("peers").share_leaving(vm.id, vm.incarnation)
+            elif self._leaving_incarnations_by_vm.get(vm.id, 0) < vm.incarnation:
+                self._leaving_incarnations_by_vm.pop(vm.id, None)
+        return self.vms_by_id
+
+    async def _follow_vms(self):
+        while True:
+            if self._kernel.get("peers").is_watcher():
+                try:
+                    await self.read_vms()
+                except StoreError as error:
+                    log.debug("the VM list is not read: {}", error)
+            await self._kernel.clock.sleep(VM_LIST_INTERVAL_S)
+
+    async def _follow_assignments(self):
+        revision = None
+        while True:
+            if not self._kernel.get("peers").is_watcher():
+                revision = None
+                await self._kernel.clock.sleep(RETRY_DELAY_S)
+                continue
+            try:
+                revision = await self._watch_once(revision)
+            except WatchCompacted:
+                revision = None
+            except StoreError as error:
+                log.debug("the assignments are not read: {}", error)
+                await self._kernel.clock.sleep(RETRY_DELAY_S)
+
+    async def _watch_once(self, revision):
+        store = self._kernel.get("store")
+        if revision is None:
+            items, revision = await store.list(ASSIGNMENTS)
+        else:
+            page = await store.watch(ASSIGNMENTS, revision, WATCH_WAIT_S)
+            items, revision = page.items, page.revision
+        for stored in items:
+            if stored.value is not None:
+                self.share(stored.name, stored.version, stored.value)
+        return revision
+
+    def share(self, region, version, value):
+        """Take in the assignments of a region and pass them on."""
+        peers = self._kernel.get("peers")
+        peers.share_object(f"{ASSIGNMENTS}/{region}", version, value)
+
+    def _take_object(self, name, version, value):
+        collection, _, region = name.partition("/")
+        if collection != ASSIGNMENTS:
+            return
+        self.versions_by_region[region] = version
+        self.assignments_by_region[region] = [
+            check(Assignment, data) for data in value["assignments"]
+        ]
+        self._announce()
+
+    def _take_leaving(self, entry):
+        held = self._leaving_incarnations_by_vm.get(entry.id, -1)
+        if held >= entry.incarnation:
+            return False
+        self._leaving_incarnations_by_vm[entry.id] = entry.incarnation
+        log.info("VM {} is leaving", entry.id)
+        self._announce()
+        return True
+
+    def _announce(self):
+        for callback in self._subscribers:
+            callback()
--- /dev/null
+++ b/pimentogap/groups/__init__.py
@@ -0,0 +1,21 @@
+"""Model groups: leases, plans, orders to engines."""
+
+from pimentogap.groups._decisions import Action, Decision
+from pimentogap.groups._lease import LEASE_DURATION_S, Lease
+from pimentogap.groups._orders import Assume, Holding, OrderClient, Release
+from pimentogap.groups._planner import FleetView, Planner
+from pimentogap.groups._service import GroupService
+
+__all__ = [
+    "LEASE_DURATION_S",
+    "Action",
+    "Assume",
+    "Decision",
+    "FleetView",
+    "GroupService",
+    "Holding",
+    "Lease",
+    "OrderClient",
+    "Planner",
+    "Release",
+]
--- /dev/null
+++ b/pimentogap/groups/_decisions.py
@@ -0,0 +1,44 @@
+"""Records of what the controller decided, for people to read."""
+
+from dataclasses import asdict, dataclass
+from enum import StrEnum
+
+
+class Action(StrEnum):
+    """What was decided about a group."""
+
+    FORM = "form"
+    REPAIR = "repair"
+    REPLACE = "replace"
+    DRAIN = "drain"
+    END = "end"
+    WAIT = "wait"
+    GIVE_UP_SURPLUS = "give up surplus"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """One decision: what was seen, what was chosen, what was rejected and why.
+
+    ``at`` is in seconds since the epoch.
+    """
+
+    id: str
+    at: float
+    group: str
+    action: str
+    seen: str
+    chosen: str
+    rejected: tuple
+    vms: tuple
+
+
+def dump_decision(decision):
+    """Return ``decision`` as plain data."""
+    return asdict(decision)
+
+
+def load_decision(data):
+    """Return the `Decision` that `dump_decision` gave."""
+    fields = {**data, "rejected": tuple(data["rejected"]), "vms": tuple(data["vms"])}
+    return Decision(**fields)
--- /dev/null
+++ b/pimentogap/groups/_lease.py
@@ -0,0 +1,106 @@
+"""A lease on the platform's store, with a fencing number."""
+
+from logbook import Logger
+
+from pimentogap.errors import StoreError
+from pimentogap.store import Put, Written
+
+log = Logger("groups.lease")
+
+LEASES = "leases"
+LEASE_DURATION_S = 6.0
+LEASE_MARGIN_S = 1.0
+RENEW_INTERVAL_S = 2.0
+WRITE_GIVE_UP_S = 1.5
+
+
+class Lease:
+    """Holds, or tries to get, one lease object.
+
+    The holder counts its time from before the write that renewed the lease,
+    less a margin; a successor waits the full duration after it last saw the
+    object change. Neither compares clocks with the other.
+    """
+
+    __slots__ = (
+        "object_name",
+        "holder",
+        "fence",
+        "_clock",
+        "_store",
+        "_id",
+        "_version",
+        "_valid_until",
+        "_seen_version",
+        "_seen_at",
+    )
+
+    def __init__(self, store, clock, *, object_name, own_id):
+        """Prepare to compete for ``object_name`` as ``own_id``."""
+        self.object_name = object_name
+        self.holder = None
+        self.fence = 0
+        self._clock = clock
+        self._store = store
+        self._id = own_id
+        self._version = 0
+        self._valid_until = 0.0
+        self._seen_version = None
+        self._seen_at = 0.0
+
+    def valid(self):
+        """Return whether an order may still be sent under the lease."""
+        return self._clock.time() < self._valid_until
+
+    async def step(self):
+        """Renew the lease if it is held, or take it if it has lapsed.
+
+        :return: whether the lease is held afterwards.
+        """
+        try:
+            if self.valid():
+                await self._renew()
+            else:
+                await self._try_take()
+        except StoreError as error:
+            log.debug("lease {}: {}", self.object_name, error)
+        return self.valid()
+
+    async def release(self):
+        """Give the lease up, so that a successor need not wait."""
+        if not self.valid():
+            return
+        self._valid_until = 0.0
+        value = {"holder": "", "fence": self.fence}
+        await self._write(value)
+
+    async def _renew(self):
+        started_at = self._clock.time()
+        if await self._write({"holder": self._id, "fence": self.fence}):
+            self._valid_until = started_at + LEASE_DURATION_S - LEASE_MARGIN_S
+
+    async def _try_take(self):
+        stored = await self._store.get(LEASES, self.object_name)
+        now = self._clock.time()
+        version = stored.version if stored else 0
+        self.holder = stored.value["holder"] if stored else ""
+        if version != self._seen_version:
+            self._seen_version, self._seen_at = version, now
+        lapsed = now - self._seen_at >= LEASE_DURATION_S
+        if self.holder not in ("", self._id) and not lapsed:
+            return
+        fence = stored.value["fence"] + 1 if stored else 1
+        self._version = version
+        if await self._write({"holder": self._id, "fence": fence}):
+            self.fence = fence
+            self.holder = self._id
+            self._valid_until = now + LEASE_DURATION_S - LEASE_MARGIN_S
+            log.notice("lease {} taken with fence {}", self.object_name, fence)
+
+    async def _write(self, value):
+        put = Put(LEASES, self.object_name, value, self._version)
+        match await self._store.write(put, give_up_after_s=WRITE_GIVE_UP_S):
+            case Written(version):
+                self._version = version
+                return True
+        return False
--- /dev/null
+++ b/pimentogap/groups/_service.py
@@ -0,0 +1,436 @@
+"""The service that keeps model groups whole."""
+
+import asyncio
+from collections import deque
+
+from logbook import Logger
+
+from pimentogap.errors import (
+    ConnectionFailed,
+    LeaseLost,
+    OrderRefused,
+    PeerUnreachable,
+    ResponseLost,
+    StoreError,
+)
+from pimentogap.fleet import ASSIGNMENTS
+from pimentogap.groups._decisions import Action, Decision, dump_decision, load_decision
+from pimentogap.groups._lease import RENEW_INTERVAL_S, Lease
+from pimentogap.groups._orders import Assume, OrderClient, Release
+from pimentogap.groups._planner import QUARANTINE_S, FleetView, Planner
+from pimentogap.kernel import RestartOnError
+from pimentogap.schema import check, dump
+from pimentogap.store import Put, Written
+from pimentogap.types import Assignment
+
+log = Logger("groups")
+
+DECISIONS = "decisions"
+CONTROL_INTERVAL_S = 0.5
+ORDER_LIFETIME_S = 3.0
+UNSETTLED_READ_S = 0.5
+HEAD_READ_S = 5.0
+MEMBER_READ_S = 30.0
+DECISIONS_KEPT = 300
+DECISIONS_WRITE_INTERVAL_S = 1.0
+WRITE_GIVE_UP_S = 2.0
+LOSSES_BEFORE_QUARANTINE = 3
+LOSS_WINDOW_S = 300.0
+NOTICE_CALL = "groups.notice"
+
+
+class GroupService:
+    """Controls the model groups of the daemon's region while it holds the lease.
+
+    One write to one object changes the assignments of a region, so that no VM
+    is ever in two groups. Each VM has a task that compares what its engine
+    holds with what is assigned and sends orders until they agree.
+    """
+
+    name = "groups"
+    requires = ("store", "configuration", "peers", "fleet")
+    __slots__ = (
+        "lease",
+        "plans_made",
+        "_kernel",
+        "_region",
+        "_orders",
+        "_version",
+        "_fence_written",
+        "_taken_at",
+        "_assignments",
+        "_generations",
+        "_decisions",
+        "_last_chosen_by_group",
+        "_holdings_by_vm",
+        "_tasks_by_vm",
+        "_wake_by_vm",
+        "_absent_since_by_vm",
+        "_draining_since_by_key",
+        "_incarnations_by_vm",
+        "_losses_by_vm",
+        "_noticed",
+        "_next_decision",
+        "_unwritten",
+    )
+
+    def __init__(self, http, *, region):
+        """Prepare to control ``region``; orders go through ``http``."""
+        self.lease = None
+        self.plans_made = 0
+        self._kernel = None
+        self._region = region
+        self._orders = OrderClient(http)
+        self._decisions = deque(maxlen=DECISIONS_KEPT)
+        self._last_chosen_by_group = {}
+        self._holdings_by_vm = {}
+        self._tasks_by_vm = {}
+        self._wake_by_vm = {}
+        self._absent_since_by_vm = {}
+        self._draining_since_by_key = {}
+        self._incarnations_by_vm = {}
+        self._losses_by_vm = {}
+        self._noticed = asyncio.Event()
+        self._next_decision = 0
+        self._unwritten = False
+        self._forget_object()
+
+    async def start(self, kernel):
+        """Compete for the region's lease and control while it is held."""
+        self._kernel = kernel
+        own = kernel.get("peers").table.own
+        self.lease = Lease(
+            kernel.get("store"),
+            kernel.clock,
+            object_name=f"groups-{self._region}",
+            own_id=f"{own.id}/{own.incarnation}",
+        )
+        kernel.get("peers").answer_calls(NOTICE_CALL, self._answer_notice)
+        kernel.get("configuration").subscribe(lambda accepted: self._noticed.set())
+        kernel.spawn(self.name, self._keep_lease, on_error=RestartOnError())
+        kernel.spawn(self.name, self._control, on_error=RestartOnError())
+        kernel.spawn(self.name, self._write_decisions, on_error=RestartOnError())
+
+    async def stop(self):
+        """Give the lease up."""
+        try:
+            await self.lease.release()
+        except StoreError as error:
+            log.debug("the lease is left to lapse: {}", error)
+
+    def notice(self):
+        """Have the plan reconsidered soon, since a group was seen incomplete."""
+        if self.lease.valid():
+            self._noticed.set()
+            for wake in self._wake_by_vm.values():
+                wake.set()
+            return
+        holder = (self.lease.holder or "").partition("/")[0]
+        if holder:
+            self._kernel.spawn(self.name, self._tell_holder, holder)
+
+    async def decisions(self):
+        """Return the recent `Decision` objects of the region, oldest first.
+
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        stored = await self._kernel.get("store").get(DECISIONS, self._region)
+        return [load_decision(data) for data in stored.value] if stored else []
+
+    async def _tell_holder(self, holder):
+        try:
+            peers = self._kernel.get("peers")
+            await peers.call(holder, NOTICE_CALL, {}, timeout_s=1.0)
+        except (PeerUnreachable, ResponseLost) as error:
+            log.debug("{} was not told: {}", holder, error)
+
+    async def _answer_notice(self, body):
+        if self.lease.valid():
+            self.notice()
+        return {}
+
+    async def _keep_lease(self):
+        while True:
+            held = await self.lease.step()
+            if not held:
+                self._forget_object()
+            await self._kernel.clock.sleep(RENEW_INTERVAL_S)
+
+    async def _control(self):
+        while True:
+            try:
+                async with self._kernel.clock.timeout(CONTROL_INTERVAL_S):
+                    await self._noticed.wait()
+            except TimeoutError:
+                pass
+            self._noticed.clear()
+            if self.lease.valid() and self._kernel.get("configuration").loaded:
+                try:
+                    await self._control_once()
+                except StoreError as error:
+                    log.debug("control waits for the store: {}", error)
+                    await self._kernel.clock.sleep(CONTROL_INTERVAL_S)
+
+    async def _control_once(self):
+        vms_by_id = await self._kernel.get("fleet").read_vms()
+        if self._fence_written != self.lease.fence:
+            await self._take_over()
+        if self._fence_written != self.lease.fence:
+            return
+        self._observe(vms_by_id)
+        planner = Planner(
+            region=self._region,
+            configuration=self._kernel.get("configuration").current,
+            view=self._view(vms_by_id),
+        )
+        generations = dict(self._generations)
+        planned = planner.plan(list(self._assignments), generations)
+        self.plans_made += 1
+        self._record(planner.decisions)
+        if planned != self._assignments:
+            await self._commit(planned, generations)
+        self._keep_vm_tasks(vms_by_id)
+
+    async def _take_over(self):
+        """Read the assignments and put the own fencing number on them."""
+        stored = await self._kernel.get("store").get(ASSIGNMENTS, self._region)
+        value = stored.value if stored else {"assignments": [], "generations": {}}
+        if stored is not None and value["fence"] > self.lease.fence:
+            log.warning("a newer holder has written fence {}", value["fence"])
+            return
+        self._version = stored.version if stored else 0
+        self._assignments = [check(Assignment, a) for a in value["assignments"]]
+        self._generations = dict(value["generations"])
+        self._decisions.clear()
+        self._decisions.extend(await self.decisions())
+        if await self._commit(self._assignments, self._generations):
+            self._fence_written = self.lease.fence
+            self._taken_at = self._kernel.clock.time()
+
+    async def _commit(self, assignments, generations):
+        """Write the assignments; only then are they acted on."""
+        if not self.lease.valid():
+            return False
+        value = {
+            "fence": self.lease.fence,
+            "assignments": [dump(assignment) for assignment in assignments],
+            "generations": generations,
+        }
+        put = Put(ASSIGNMENTS, self._region, value, self._version)
+        store = self._kernel.get("store")
+        match await store.write(put, give_up_after_s=WRITE_GIVE_UP_S):
+            case Written(version):
+                self._version = version
+                self._assignments = list(assignments)
+                self._generations = generations
+                self._kernel.get("fleet").share(self._region, version, value)
+                self._wake_changed()
+                return True
+            case outcome:
+                log.warning("the assignments were not written: {}", outcome)
+                self._forget_object()
+                return False
+
+    def _forget_object(self):
+        self._version = 0
+        self._fence_written = None
+        self._taken_at = None
+        self._assignments = []
+        self._generations = {}
+
+    def _wake_changed(self):
+        for wake in self._wake_by_vm.values():
+            wake.set()
+
+    def _observe(self, vms_by_id):
+        """Note absences, restarts and drains, which the plan's delays count from."""
+        now = self._kernel.clock.time()
+        members = {m.id for a in self._assignments for m in a.vms}
+        for vm_id in members:
+            if vm_id in vms_by_id:
+                self._absent_since_by_vm.pop(vm_id, None)
+            else:
+                self._absent_since_by_vm.setdefault(vm_id, now)
+        for vm in vms_by_id.values():
+            known = self._incarnations_by_vm.get(vm.id)
+            if known is not None and known < vm.incarnation:
+                losses = self._losses_by_vm.setdefault(vm.id, deque(maxlen=8))
+                losses.append(now)
+            self._incarnations_by_vm[vm.id] = vm.incarnation
+        draining = {a.key for a in self._assignments if a.draining}
+        for key in draining:
+            self._draining_since_by_key.setdefault(key, now)
+        for key in set(self._draining_since_by_key) - draining:
+            del self._draining_since_by_key[key]
+
+    def _view(self, vms_by_id):
+        view = FleetView(now=self._kernel.clock.time(), vms_by_id=vms_by_id)
+        fleet = self._kernel.get("fleet")
+        view.leaving_vms = frozenset(
+            vm.id
+            for vm in vms_by_id.values()
+            if fleet.is_leaving(vm.id, vm.incarnation)
+        )
+        view.absent_since_by_vm = self._absent_since_by_vm
+        view.draining_since_by_key = self._draining_since_by_key
+        view.quarantined_until_by_vm = self._quarantines(view.now)
+        heads = [(a, self._holdings_by_vm.get(a.head.id)) for a in self._assignments]
+        held = [
+            (a, h)
+            for a, h in heads
+            if h is not None and (h.group, h.generation) == a.key
+        ]
+        view.ready = frozenset(a.key for a, h in held if h.ready)
+        view.idle = frozenset(a.key for a, h in held if h.running == 0)
+        return view
+
+    def _quarantines(self, now):
+        """Return until when VMs that restarted often are left out of new groups."""
+        until_by_vm = {}
+        for vm_id, losses in self._losses_by_vm.items():
+            recent = [at for at in losses if now - at < LOSS_WINDOW_S]
+            if len(recent) >= LOSSES_BEFORE_QUARANTINE:
+                factor = 2 ** (len(recent) - LOSSES_BEFORE_QUARANTINE)
+                until_by_vm[vm_id] = recent[-1] + QUARANTINE_S * factor
+        return until_by_vm
+
+    def _record(self, plan_decisions):
+        for decided in plan_decisions:
+            summary = (decided.action, decided.seen, decided.chosen)
+            waiting = decided.action == Action.WAIT
+            if waiting and self._last_chosen_by_group.get(decided.group) == summary:
+                continue
+            self._last_chosen_by_group[decided.group] = summary
+            self._next_decision += 1
+            decision = Decision(
+                f"{self._region}-{self.lease.fence}-{self._next_decision}",
+                self._kernel.clock.wall(),
+                decided.group,
+                str(decided.action),
+                decided.seen,
+                decided.chosen,
+                decided.rejected,
+                decided.vms,
+            )
+            self._decisions.append(decision)
+            self._unwritten = True
+            log.info(
+                "decision {}: {} {}: {} -> {}",
+                decision.id,
+                decision.action,
+                decision.group,
+                decision.seen,
+                decision.chosen,
+            )
+
+    async def _write_decisions(self):
+        """Write the recent decisions in batches; losing some loses only records."""
+        version = None
+        while True:
+            await self._kernel.clock.sleep(DECISIONS_WRITE_INTERVAL_S)
+            if not self._unwritten or not self.lease.valid():
+                continue
+            self._unwritten = False
+            store = self._kernel.get("store")
+            try:
+                if version is None:
+                    stored = await store.get(DECISIONS, self._region)
+                    version = stored.version if stored else 0
+            except StoreError:
+                continue
+            value = [dump_decision(decision) for decision in self._decisions]
+            put = Put(DECISIONS, self._region, value, version)
+            match await store.write(put, give_up_after_s=WRITE_GIVE_UP_S):
+                case Written(written):
+                    version = written
+                case _:
+                    version = None
+                    self._unwritten = True
+
+    def _keep_vm_tasks(self, vms_by_id):
+        for vm in vms_by_id.values():
+            if vm.region == self._region and vm.id not in self._tasks_by_vm:
+                self._wake_by_vm[vm.id] = asyncio.Event()
+                self._tasks_by_vm[vm.id] = self._kernel.spawn(
+                    self.name, self._settle_vm, vm.id, on_error=RestartOnError()
+                )
+
+    async def _settle_vm(self, vm_id):
+        """Keep what one engine holds as it is assigned, until the VM is gone."""
+        wake = self._wake_by_vm[vm_id]
+        vms_by_id = self._kernel.get("fleet").vms_by_id
+        while vm_id in vms_by_id and self.lease.valid():
+            delay_s = await self._settle_once(vms_by_id[vm_id])
+            wake.clear()
+            try:
+                async with self._kernel.clock.timeout(delay_s):
+                    await wake.wait()
+            except TimeoutError:
+                pass
+            vms_by_id = self._kernel.get("fleet").vms_by_id
+        self._holdings_by_vm.pop(vm_id, None)
+        self._tasks_by_vm.pop(vm_id, None)
+
+    async def _settle_once(self, vm):
+        """Read one engine and send the order it needs; return when to look again."""
+        holding = await self._orders.read(vm.address)
+        if holding is None:
+            self._holdings_by_vm.pop(vm.id, None)
+            return UNSETTLED_READ_S
+        before = self._holdings_by_vm.get(vm.id)
+        self._holdings_by_vm[vm.id] = holding
+        if before is None or before.ready != holding.ready:
+            self._noticed.set()
+        assignment, rank = self._place_of(vm)
+        order = _needed_order(holding, assignment, rank)
+        if order is not None and holding.incarnation == vm.incarnation:
+            try:
+                await self._send(vm, order)
+            except (ConnectionFailed, ResponseLost, OrderRefused, LeaseLost) as error:
+                log.info("order to VM {}: {!r}", vm.id, error)
+            return UNSETTLED_READ_S
+        if assignment is None:
+            return MEMBER_READ_S
+        if rank == 0:
+            settled = holding.ready and not assignment.draining
+            return HEAD_READ_S if settled else UNSETTLED_READ_S
+        return MEMBER_READ_S if holding.loaded else UNSETTLED_READ_S
+
+    def _place_of(self, vm):
+        for assignment in self._assignments:
+            for rank, member in enumerate(assignment.vms):
+                if member.id == vm.id and member.incarnation == vm.incarnation:
+                    return assignment, rank
+        return None, 0
+
+    async def _send(self, vm, order):
+        """Send an order while the lease and the kind of engine allow it."""
+        if not self._may_order(vm):
+            raise LeaseLost(f"no order is sent to VM {vm.id} now")
+        await self._orders.send(vm.address, order, fence=self.lease.fence)
+
+    def _may_order(self, vm):
+        """Return whether an order sent now can be harmless if it arrives late.
+
+        An engine that does not check the fencing number gets orders only once
+        those of the previous holder of the lease have passed their lifetime.
+        """
+        if self._fence_written != self.lease.fence or not self.lease.valid():
+            return False
+        configuration = self._kernel.get("configuration").current
+        kind = configuration.get("engine_kind", vm.fabric_domain)
+        if kind is None or kind.checks_fencing_number:
+            return True
+        return self._kernel.clock.time() - self._taken_at >= ORDER_LIFETIME_S
+
+
+def _needed_order(holding, assignment, rank):
+    """Return the order that brings an engine nearer to its assignment, if any."""
+    held = (holding.group, holding.generation)
+    if assignment is None:
+        return Release() if holding.group is not None else None
+    if held == assignment.key:
+        return None
+    if holding.group not in (None, assignment.group):
+        return Release()
+    return Assume(assignment, rank)
--- /dev/null
+++ b/pimentogap/peers/_grpc.py
@@ -0,0 +1,181 @@
+"""Sessions between daemons over grpclib."""
+
+import asyncio
+import hashlib
+import hmac
+import json
+from contextlib import asynccontextmanager
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from pimentogap.errors import PeerRefused, PeerUnreachable, ResponseLost
+from pimentogap.peers._encoding import decode_frame, encode_frame
+from pimentogap.peers.proto.peers_grpc import FleetBase, FleetStub
+from pimentogap.peers.proto.peers_pb2 import CallReply, CallRequest
+
+CONNECT_TIMEOUT_S = 1.0
+PROOF_HEADER = "fleet-proof"
+SENDER_HEADER = "fleet-sender"
+
+
+class GrpcTransport:
+    """Opens sessions to other daemons and accepts theirs.
+
+    Each side proves that it knows the fleet's key; strangers are refused.
+    """
+
+    __slots__ = ("_own_id", "_fleet_key", "_server", "_channels_by_address")
+
+    def __init__(self, own_id, fleet_key):
+        self._own_id = own_id
+        self._fleet_key = fleet_key.encode()
+        self._server = None
+        self._channels_by_address = {}
+
+    async def listen(self, address, accept_session, answer_call):
+        """Serve ``address`` until `close`.
+
+        :param accept_session: called with each accepted session.
+        :param answer_call: called with a service's name and plain data; returns
+            plain data.
+        """
+        host, _, port = address.rpartition(":")
+        handler = _Handler(self, accept_session, answer_call)
+        self._server = Server([handler])
+        await self._server.start(host.strip("[]"), int(port))
+
+    async def close(self):
+        """Stop listening and end every connection."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+        for channel in self._channels_by_address.values():
+            channel.close()
+        self._channels_by_address.clear()
+
+    @asynccontextmanager
+    async def open_session(self, address):
+        """Yield a session with the daemon at ``address``.
+
+        :raises PeerUnreachable: if there is no connection, or it ends.
+        :raises PeerRefused: if the other side does not accept this daemon.
+        """
+        channel = _channel(address)
+        try:
+            stub = FleetStub(channel)
+            async with stub.Exchange.open(metadata=self._metadata()) as stream:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_request()
+                yield GrpcSession(stream)
+                await stream.cancel()
+        except GRPCError as error:
+            if error.status is Status.UNAUTHENTICATED:
+                raise PeerRefused(address)
+            raise PeerUnreachable(f"{address}: {error!r}")
+        except (OSError, TimeoutError, StreamTerminatedError) as error:
+            raise PeerUnreachable(f"{address}: {error!r}")
+        finally:
+            channel.close()
+
+    async def call(self, address, service, body, *, timeout_s):
+        """Have the daemon at ``address`` answer ``body`` by its ``service``.
+
+        :raises PeerUnreachable: if nothing was sent.
+        :raises ResponseLost: if no answer came.
+        """
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = self._channels_by_address[address] = _channel(address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await channel.__connect__()
+        except (OSError, TimeoutError) as error:
+            raise PeerUnreachable(f"{address}: {error!r}")
+        request = CallRequest(service=service, body=json.dumps(body).encode())
+        try:
+            reply = await FleetStub(channel).Call(
+                request, timeout=timeout_s, metadata=self._metadata()
+            )
+        except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+            raise ResponseLost(f"{address}: {error!r}")
+        return json.loads(reply.body)
+
+    def admits(self, metadata):
+        """Return whether ``metadata`` proves that its sender knows the fleet's key."""
+        sender = metadata.get(SENDER_HEADER, "")
+        proof = metadata.get(PROOF_HEADER, "")
+        return hmac.compare_digest(str(proof), self._proof(str(sender)))
+
+    def _metadata(self):
+        return {SENDER_HEADER: self._own_id, PROOF_HEADER: self._proof(self._own_id)}
+
+    def _proof(self, sender):
+        return hmac.new(self._fleet_key, sender.encode(), hashlib.sha256).hexdigest()
+
+
+class GrpcSession:
+    """Sends and receives lists of entries on one stream."""
+
+    __slots__ = ("_stream",)
+
+    def __init__(self, stream):
+        self._stream = stream
+
+    async def send(self, entries):
+        """Send ``entries`` as one frame.
+
+        :raises PeerUnreachable: if the session has ended.
+        """
+        try:
+            await self._stream.send_message(encode_frame(entries))
+        except (GRPCError, StreamTerminatedError, OSError) as error:
+            raise PeerUnreachable(repr(error))
+
+    async def receive(self):
+        """Return the entries of the next frame.
+
+        :raises PeerUnreachable: if the session has ended.
+        """
+        try:
+            frame = await self._stream.recv_message()
+        except (StreamTerminatedError, OSError) as error:
+            raise PeerUnreachable(repr(error))
+        if frame is None:
+            raise PeerUnreachable("the other side ended the session")
+        return decode_frame(frame)
+
+
+class _Handler(FleetBase):
+    """Admits the other daemons of the fleet and hands their streams on."""
+
+    __slots__ = ("_transport", "_accept_session", "_answer_call")
+
+    def __init__(self, transport, accept_session, answer_call):
+        self._transport = transport
+        self._accept_session = accept_session
+        self._answer_call = answer_call
+
+    async def Exchange(self, stream):  # noqa: N802
+        self._admit(stream)
+        try:
+            await self._accept_session(GrpcSession(stream))
+        except PeerUnreachable:
+            pass
+
+    async def Call(self, stream):  # noqa: N802
+        self._admit(stream)
+        request = await stream.recv_message()
+        body = await self._answer_call(request.service, json.loads(request.body))
+        await stream.send_message(CallReply(body=json.dumps(body).encode()))
+
+    def _admit(self, stream):
+        if not self._transport.admits(stream.metadata):
+            raise GRPCError(Status.UNAUTHENTICATED, "not a daemon of this fleet")
+
+
+def _channel(address):
+    host, _, port = address.rpartition(":")
+    return Channel(host.strip("[]"), int(port))
--- /dev/null
+++ b/pimentogap/peers/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from peers.proto by `make proto`."""
--- /dev/null
+++ b/pimentogap/tickets/_validate.py
@@ -0,0 +1,76 @@
+"""Checks that hold over the whole configuration."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A rule that the resulting configuration would break."""
+
+    subject: str
+    rule: str
+
+    def __str__(self):
+        return f"{self.subject}: {self.rule}"
+
+
+def validate(configuration, *, vms_by_id=None):
+    """Return every `Violation` in ``configuration``.
+
+    :param vms_by_id: the platform's VMs, as far as they are known; a pinned
+        VM that is not among them is not checked for its fabric domain.
+    """
+    return [
+        *_workspaces(configuration),
+        *_groups(configuration, vms_by_id or {}),
+        *_names(configuration),
+    ]
+
+
+def _workspaces(configuration):
+    services = {
+        **configuration.by_name("model_service"),
+        **configuration.by_name("plain_service"),
+    }
+    for name, workspace in configuration.by_name("workspace").items():
+        subject = f"workspace {name}"
+        for service_name in workspace.services:
+            service = services.get(service_name)
+            if service is None:
+                yield Violation(subject, f"no service is called {service_name}")
+            elif workspace.requests_per_s > service.requests_per_s:
+                yield Violation(
+                    subject,
+                    f"its limit of {workspace.requests_per_s:g} requests/s is above "
+                    f"the {service.requests_per_s:g} of service {service_name}",
+                )
+
+
+def _groups(configuration, vms_by_id):
+    services = configuration.by_name("model_service")
+    groups_by_vm = {}
+    for name, group in configuration.by_name("model_group").items():
+        subject = f"model_group {name}"
+        service = services.get(group.service)
+        if service is None:
+            yield Violation(subject, f"no model_service is called {group.service}")
+            continue
+        if group.vms and len(group.vms) != service.vms_per_group:
+            yield Violation(
+                subject,
+                f"{len(group.vms)} VMs where {group.service} needs "
+                f"{service.vms_per_group}",
+            )
+        domains = {vms_by_id[vm].fabric_domain for vm in group.vms if vm in vms_by_id}
+        if len(domains) > 1:
+            yield Violation(subject, "fabric domains " + ", ".join(sorted(domains)))
+        for vm in group.vms:
+            other = groups_by_vm.setdefault(vm, name)
+            if other != name or group.vms.count(vm) > 1:
+                yield Violation(subject, f"VM {vm} is also in model_group {other}")
+
+
+def _names(configuration):
+    for name in configuration.by_name("model_service"):
+        if configuration.get("plain_service", name) is not None:
+            yield Violation(f"model_service {name}", "a plain_service has that name")
