--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration with both deployments of the brief."""
--- /dev/null
+++ b/pimentogap/access/__init__.py
@@ -0,0 +1,14 @@
+"""Who may call, and who may submit tickets."""
+
+from pimentogap.access._admission import Admitted, Rejected, admit, may_submit
+from pimentogap.access._keys import hash_key, key_matches, new_key
+
+__all__ = [
+    "Admitted",
+    "Rejected",
+    "admit",
+    "hash_key",
+    "key_matches",
+    "may_submit",
+    "new_key",
+]
--- /dev/null
+++ b/pimentogap/access/_admission.py
@@ -0,0 +1,48 @@
+"""Decides who may call what."""
+
+from dataclasses import dataclass
+
+from pimentogap.access._keys import key_matches
+from pimentogap.types import Refusal, RefusalCode, Workspace, not_run
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The caller belongs to ``workspace``."""
+
+    workspace: Workspace
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The caller is refused."""
+
+    refusal: Refusal
+
+
+def admit(configuration, *, workspace_name, key, service_name):
+    """Return `Admitted` or `Rejected` for a call.
+
+    A wrong key and an unknown workspace are answered alike.
+    """
+    workspace = configuration.get("workspace", workspace_name)
+    allowed = workspace is not None and (
+        not workspace.key_hashes or key_matches(key, workspace.key_hashes)
+    )
+    if not allowed:
+        detail = "no workspace of that name admits this key"
+        return Rejected(not_run(RefusalCode.UNKNOWN_WORKSPACE, detail))
+    if service_name is not None and service_name not in workspace.services:
+        detail = f"workspace {workspace.name} may not call {service_name}"
+        return Rejected(not_run(RefusalCode.NOT_PERMITTED, detail))
+    return Admitted(workspace)
+
+
+def may_submit(configuration, *, operator_name, key):
+    """Return whether ``key`` belongs to the operator; anyone may before the first is
+    configured."""
+    operators = configuration.by_name("operator")
+    if not operators:
+        return True
+    operator = operators.get(operator_name)
+    return operator is not None and key_matches(key, operator.key_hashes)
--- /dev/null
+++ b/pimentogap/actions/_shard.py
@@ -0,0 +1,343 @@
+"""The owner of one shard of idempotency keys."""
+
+import asyncio
+from dataclasses import dataclass
+
+from logbook import Logger
+
+from pimentogap.actions._ring import RingLog, size_of
+from pimentogap.actions._sending import Lost, NotSent, Ran
+from pimentogap.actions._states import (
+    ActionCall,
+    Answer,
+    Answered,
+    AnswerRecord,
+    Claimed,
+    ClaimRecord,
+    ClaimTable,
+    DoubtRecord,
+    InDoubt,
+    ReleaseRecord,
+    Sent,
+    TakeOverRecord,
+    dump_record,
+    load_record,
+)
+from pimentogap.store import NotWritten, Unsettled, Written
+from pimentogap.types import Refusal, RefusalCode, RunState, not_run
+
+log = Logger("actions.shard")
+
+COMMIT_INTERVAL_S = 0.03
+MAX_SEGMENT_BYTES = 200_000
+CLAIM_GIVE_UP_S = 1.5
+RETRY_AFTER_S = 1.0
+SAME_CLAIM_S = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Replied:
+    """The action ran; ``replayed`` says that the answer was kept from before."""
+
+    answer: Answer
+    replayed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class NotReplied:
+    """There is no answer; the refusal says what is known."""
+
+    refusal: Refusal
+
+
+class Running:
+    """An action under way. ``abandoned`` forbids that it is sent from now on."""
+
+    __slots__ = ("result", "abandoned")
+
+    def __init__(self):
+        self.result = asyncio.get_running_loop().create_future()
+        self.abandoned = False
+
+    def finish(self, outcome):
+        """Give ``outcome`` to everyone who waits for it."""
+        if not self.result.done():
+            self.result.set_result(outcome)
+
+
+class PendingRecord:
+    """A record that waits to be written; ``written`` tells the outcome."""
+
+    __slots__ = ("record", "written")
+
+    def __init__(self, record):
+        self.record = record
+        self.written = asyncio.get_running_loop().create_future()
+
+
+class ShardOwner:
+    """Claims keys in the shard's log before it sends their actions.
+
+    The log admits one writer for each number. An owner that was replaced while
+    it was paused therefore finds its next claim refused, and sends nothing
+    more; what it had claimed before stands as in doubt for its successor.
+    """
+
+    __slots__ = (
+        "active",
+        "table",
+        "_kernel",
+        "_log",
+        "_owner",
+        "_sender",
+        "_pending",
+        "_wake",
+        "_running_by_key",
+        "_last_commit_at",
+    )
+
+    def __init__(self, kernel, name, *, owner, sender):
+        """Prepare to own the shard whose log is called ``name``."""
+        self.active = False
+        self.table = ClaimTable()
+        self._kernel = kernel
+        self._log = RingLog(kernel.get("store"), name)
+        self._owner = owner
+        self._sender = sender
+        self._pending = []
+        self._wake = asyncio.Event()
+        self._running_by_key = {}
+        self._last_commit_at = 0.0
+
+    async def take_over(self):
+        """Read the log and write the own name into it; return whether that worked.
+
+        :raises StoreUnavailable: if the store does not answer.
+        """
+        records = await self._log.load()
+        self.table = ClaimTable()
+        for data in records:
+            self.table.apply(load_record(data))
+        record = dump_record(TakeOverRecord(self._owner))
+        outcome = await self._log.append(self._owner, [record])
+        self.active = isinstance(outcome, Written)
+        return self.active
+
+    async def write_log(self):
+        """Write pending records in batches for as long as the shard is owned."""
+        while self.active:
+            await self._wake.wait()
+            self._wake.clear()
+            clock = self._kernel.clock
+            await clock.sleep(self._last_commit_at + COMMIT_INTERVAL_S - clock.time())
+            while self._pending and self.active:
+                self._last_commit_at = clock.time()
+                await self._write_segment()
+                await self._tidy()
+                rest_s = self._last_commit_at + COMMIT_INTERVAL_S - clock.time()
+                await clock.sleep(rest_s)
+
+    async def run(self, call: ActionCall):
+        """Run the action of ``call`` at most once.
+
+        :return: `Replied` or `NotReplied`.
+        """
+        key = call.claim_key
+        state = self.table.states_by_key.get(key)
+        if state is not None and state.body_digest != call.body_digest:
+            detail = "the key was used with another request before"
+            return NotReplied(not_run(RefusalCode.KEY_REUSED, detail))
+        match state:
+            case None:
+                self._start(call)
+                return await self._wait_for(key, call.deadline_in_s)
+            case Claimed() | Sent():
+                return await self._wait_for(key, call.deadline_in_s)
+            case Answered(_, _, answer):
+                return Replied(answer, True)
+            case InDoubt():
+                return await self._resolve(call, state)
+
+    def settle(self, key, ran, *, claimed_at):
+        """Take an operator's word on a key in doubt; return whether it was in doubt.
+
+        :param claimed_at: tells this doubt from a later one under the same key.
+        """
+        state = self.table.states_by_key.get(key)
+        if not isinstance(state, InDoubt):
+            return False
+        if abs(state.claimed_at - claimed_at) > SAME_CLAIM_S:
+            return False
+        if ran:
+            self._conclude(key, state, Answer(200, "", None))
+        else:
+            del self.table.states_by_key[key]
+            self._write(ReleaseRecord(key))
+        return True
+
+    def in_doubt(self):
+        """Return the `InDoubt` states by their keys."""
+        states = self.table.states_by_key.items()
+        return {key: state for key, state in states if isinstance(state, InDoubt)}
+
+    async def finish(self):
+        """Wait for the actions under way and write what is pending."""
+        while self._running_by_key:
+            waiting = [r.result for r in self._running_by_key.values()]
+            await asyncio.wait(waiting, timeout=1.0)
+            await self._kernel.clock.sleep(COMMIT_INTERVAL_S)
+        if self._pending:
+            await asyncio.wait([p.written for p in self._pending], timeout=2.0)
+        self.active = False
+        self._wake.set()
+
+    def _start(self, call):
+        now = self._kernel.clock.wall()
+        self.table.states_by_key[call.claim_key] = Claimed(call.body_digest, now)
+        running = self._running_by_key[call.claim_key] = Running()
+        self._kernel.spawn("actions", self._perform, call, running, now)
+
+    async def _wait_for(self, key, deadline_in_s):
+        """Wait for an action under way, as long as its caller does."""
+        running = self._running_by_key.get(key)
+        if running is None:
+            return _in_doubt("the outcome of the action was not noted")
+        give_up_s = min(deadline_in_s, CLAIM_GIVE_UP_S)
+        done, _ = await asyncio.wait([running.result], timeout=give_up_s)
+        if not done and isinstance(self.table.states_by_key.get(key), Claimed):
+            running.abandoned = True
+            detail = "the claim on the key could not be written in time"
+            code = RefusalCode.STORE_UNAVAILABLE
+            return NotReplied(not_run(code, detail, retry_after_s=RETRY_AFTER_S))
+        if not done and deadline_in_s > give_up_s:
+            await asyncio.wait([running.result], timeout=deadline_in_s - give_up_s)
+        if running.result.done():
+            return running.result.result()
+        detail = "the action is under way; ask again with the same key"
+        code = RefusalCode.IN_PROGRESS
+        return NotReplied(Refusal(code, RunState.MAY_HAVE_RUN, detail, RETRY_AFTER_S))
+
+    async def _perform(self, call, running, claimed_at):
+        """Claim, send, and record what came of it."""
+        key = call.claim_key
+        outcome = None
+        try:
+            outcome = await self._claim_and_send(call, running, claimed_at)
+        finally:
+            if outcome is None:
+                outcome = _in_doubt("the action failed before its outcome was known")
+            self._running_by_key.pop(key, None)
+            running.finish(outcome)
+
+    async def _claim_and_send(self, call, running, claimed_at):
+        key, digest = call.claim_key, call.body_digest
+        claim = ClaimRecord(key, digest, claimed_at, call.path)
+        if not await self._write(claim):
+            self.table.states_by_key.pop(key, None)
+            code, detail = RefusalCode.STORE_UNAVAILABLE, "the key was not claimed"
+            return NotReplied(not_run(code, detail, retry_after_s=RETRY_AFTER_S))
+        if running.abandoned:
+            return self._release(key, RefusalCode.STORE_UNAVAILABLE, "given up in time")
+        self.table.states_by_key[key] = Sent(digest, claimed_at)
+        match await self._sender.send(call):
+            case Ran(answer):
+                self._conclude(key, self.table.states_by_key[key], answer)
+                return Replied(answer, False)
+            case NotSent(detail):
+                return self._release(key, RefusalCode.NO_CAPACITY, detail)
+            case Lost(detail):
+                doubt = InDoubt(digest, claimed_at, call.path)
+                self.table.states_by_key[key] = doubt
+                self._write(DoubtRecord(key))
+                return await self._resolve(call, doubt)
+
+    def _release(self, key, code, detail):
+        self.table.states_by_key.pop(key, None)
+        self._write(ReleaseRecord(key))
+        return NotReplied(not_run(code, detail, retry_after_s=RETRY_AFTER_S))
+
+    def _conclude(self, key, state, answer):
+        kept = self._sender.kept_answer(key, answer)
+        answered = Answered(state.body_digest, state.claimed_at, kept)
+        self.table.states_by_key[key] = answered
+        self._write(AnswerRecord(key, kept))
+
+    async def _resolve(self, call, state):
+        """Ask the service what became of an action in doubt, if it offers that.
+
+        That it has not run says nothing: the request may still be on its way.
+        """
+        answer = await self._sender.ask(call)
+        if answer is not None:
+            self._conclude(call.claim_key, state, answer)
+            return Replied(answer, True)
+        return _in_doubt("the action may have run and is not run again")
+
+    def _write(self, record):
+        """Queue ``record`` for the log; the future tells whether it was written."""
+        pending = PendingRecord(record)
+        if not self.active:
+            pending.written.set_result(False)
+            return pending.written
+        self._pending.append(pending)
+        self._wake.set()
+        return pending.written
+
+    async def _write_segment(self):
+        batch = self._next_batch()
+        records = [dump_record(pending.record) for pending in batch]
+        while True:
+            match await self._log.append(self._owner, records):
+                case Written():
+                    self._tell(batch, True)
+                    return
+                case NotWritten():
+                    self._give_up_claims(batch)
+                    return
+                case Unsettled():
+                    log.debug("a segment is not settled yet")
+                case _:
+                    log.notice("{} is no longer the owner of its shard", self._owner)
+                    self.active = False
+                    self._tell(batch + self._pending, False)
+                    self._pending = []
+                    return
+
+    def _next_batch(self):
+        size, count = 0, 0
+        for pending in self._pending:
+            size += size_of(dump_record(pending.record))
+            if count and size > MAX_SEGMENT_BYTES:
+                break
+            count += 1
+        batch, self._pending = self._pending[:count], self._pending[count:]
+        return batch
+
+    def _give_up_claims(self, batch):
+        """Refuse claims that were not written; keep what tells how actions ended."""
+        claims = [p for p in batch if isinstance(p.record, ClaimRecord)]
+        others = [p for p in batch if not isinstance(p.record, ClaimRecord)]
+        self._tell(claims, False)
+        self._pending = others + self._pending
+
+    def _tell(self, batch, written):
+        for pending in batch:
+            if not pending.written.done():
+                pending.written.set_result(written)
+
+    async def _tidy(self):
+        """Merge segments when it is due, and drop what is past its retention."""
+        if not self._log.merge_due():
+            return
+        now = self._kernel.clock.wall()
+        merged = await self._log.merge(now)
+        while self._log.full() and not merged:
+            merged = await self._log.merge(now)
+        before = now - self._sender.retention_s()
+        self.table.expire(before)
+        await self._log.drop_chunks(before)
+
+
+def _in_doubt(detail):
+    code = RefusalCode.IN_DOUBT
+    return NotReplied(Refusal(code, RunState.MAY_HAVE_RUN, detail, RETRY_AFTER_S))
--- /dev/null
+++ b/pimentogap/entry/__init__.py
@@ -0,0 +1,5 @@
+"""The front end for callers."""
+
+from pimentogap.entry._service import EntryService
+
+__all__ = ["EntryService"]
--- /dev/null
+++ b/pimentogap/entry/_completions.py
@@ -0,0 +1,242 @@
+"""Handlers of the usual interface for models."""
+
+import asyncio
+import json
+from contextlib import suppress
+
+from tornado.iostream import StreamClosedError
+
+from pimentogap.entry._base import BaseHandler, problem
+from pimentogap.errors import Refused
+from pimentogap.metrics import Series
+from pimentogap.streams import (
+    Broken,
+    CompletionRequest,
+    EventSplitter,
+    Finished,
+    data_of,
+)
+from pimentogap.types import HTTP_STATUS_BY_CODE, RefusalCode, not_run
+
+MAX_TOKENS = 131072
+DEFAULT_MAX_TOKENS = 256
+CONTENT_FIELDS = ("model", "prompt", "messages", "max_tokens", "temperature", "seed")
+
+
+class CompletionHandler(BaseHandler):
+    """Answers completion requests, whole or as server-sent events."""
+
+    async def post(self):
+        self.task = asyncio.current_task()
+        service = workspace_name = "-"
+        try:
+            body = parse_completion(self.body, self.request.path)
+            service = body["model"]
+            workspace = self._check_service(service)
+            workspace_name = workspace.name
+            outcome = await self._serve(body, workspace)
+        except Refused as error:
+            outcome = error.refusal.code
+            self.refuse(error.refusal)
+        except (StreamClosedError, asyncio.CancelledError):
+            outcome = "caller_left"
+        self.count(service, workspace_name, outcome)
+
+    def _check_service(self, service):
+        workspace = self.admitted_workspace(None)
+        configuration = self.kernel.get("configuration").current
+        if configuration.get("model_service", service) is None:
+            detail = f"no model is called {service}"
+            raise Refused(not_run(RefusalCode.UNKNOWN_MODEL, detail))
+        return self.admitted_workspace(service) and workspace
+
+    async def _serve(self, body, workspace):
+        clock = self.kernel.clock
+        began_at = clock.time()
+        deadline = began_at + self.remaining_s()
+        limits = self.kernel.get("limits")
+        limits.charge(workspace)
+        request = CompletionRequest(
+            id=self.request_id,
+            service=body["model"],
+            path=self.request.path,
+            body={k: v for k, v in body.items() if k in CONTENT_FIELDS},
+            priority=body.get("priority", workspace.priority),
+            deadline=deadline,
+        )
+        sink_class = EventSink if body.get("stream") else WholeSink
+        series = (request.service, workspace.name)
+        sink = sink_class(self, clock, self.kernel.get("metrics"), series, began_at)
+        trace = self.kernel.get("traces").begin(
+            self.request_id, workspace=workspace.name, service=request.service
+        )
+        place = limits.place(
+            workspace, request.service, deadline=deadline, priority=request.priority
+        )
+        async with place:
+            trace.note("has a place")
+            outcome = await self.kernel.get("streams").relay(request, sink, trace)
+        match outcome:
+            case Finished(tokens, attempts):
+                trace.note("finished", f"{tokens} tokens in {attempts} attempts")
+                sink.finish()
+                return "ok"
+            case Broken(refusal, started):
+                trace.note("broken", refusal.detail)
+                sink.fail(refusal, started)
+                return refusal.code
+
+
+class EventSink:
+    """Passes events on to the caller as they are, no faster than it reads."""
+
+    __slots__ = ("_handler", "_clock", "_first_token", "_between", "_last_at")
+
+    def __init__(self, handler, clock, metrics, series, began_at):
+        self._handler = handler
+        self._clock = clock
+        self._first_token = metrics.histogram(Series("first_token", *series))
+        self._between = metrics.histogram(Series("between_tokens", *series))
+        self._last_at = began_at
+
+    async def events(self, data):
+        """Write whole events; return once the caller's side has taken them."""
+        now = self._clock.time()
+        histogram = self._between
+        if not self._handler._headers_written:
+            histogram = self._first_token
+            self._handler.set_header("Content-Type", "text/event-stream")
+            self._handler.set_header("Cache-Control", "no-store")
+        histogram.record_value(max(1, int((now - self._last_at) * 1e6)))
+        self._last_at = now
+        self._handler.write(data)
+        await self._handler.flush()
+
+    def finish(self):
+        """End the response."""
+        self._handler.finish()
+
+    def fail(self, refusal, started):
+        """Tell the caller that the answer is not whole."""
+        if not self._handler._headers_written:
+            self._handler.refuse(refusal)
+            return
+        status = HTTP_STATUS_BY_CODE[refusal.code]
+        document = problem(refusal, status, self._handler.request_id)
+        self._handler.write(f"event: error\ndata: {json.dumps(document)}\n\n")
+        self._handler.finish()
+
+
+class WholeSink:
+    """Collects the events of an answer and writes it as one document."""
+
+    __slots__ = (
+        "_handler",
+        "_clock",
+        "_first_token",
+        "_began_at",
+        "_splitter",
+        "_parts",
+    )
+
+    def __init__(self, handler, clock, metrics, series, began_at):
+        self._handler = handler
+        self._clock = clock
+        self._first_token = metrics.histogram(Series("first_token", *series))
+        self._began_at = began_at
+        self._splitter = EventSplitter()
+        self._parts = []
+
+    async def events(self, data):
+        """Keep whole events."""
+        if not self._parts:
+            elapsed_s = self._clock.time() - self._began_at
+            self._first_token.record_value(max(1, int(elapsed_s * 1e6)))
+        for event in self._splitter.feed(data):
+            if event.startswith(b"id: "):
+                self._parts.append(data_of(event))
+
+    def finish(self):
+        """Write the whole answer."""
+        is_chat = self._handler.request.path.endswith("/chat/completions")
+        text = "".join(_text_of(part) for part in self._parts)
+        choice = {"index": 0, "finish_reason": "stop"}
+        if is_chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        answer = {
+            "id": self._handler.request_id,
+            "object": "chat.completion" if is_chat else "text_completion",
+            "choices": [choice],
+            "usage": self._parts[-1].get("usage", {}) if self._parts else {},
+        }
+        self._handler.set_header("Content-Type", "application/json")
+        self._handler.finish(json.dumps(answer))
+
+    def fail(self, refusal, started):
+        """Refuse; nothing of the answer has been written."""
+        self._handler.refuse(refusal)
+
+
+class ModelsHandler(BaseHandler):
+    """Lists the models that the caller's workspace may use."""
+
+    def get(self):
+        try:
+            workspace = self.admitted_workspace(None)
+        except Refused as error:
+            self.refuse(error.refusal)
+            return
+        models = self.kernel.get("configuration").current.by_name("model_service")
+        data = [
+            {"id": name, "object": "model", "owned_by": "pimentogap"}
+            for name in sorted(models)
+            if name in workspace.services
+        ]
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps({"object": "list", "data": data}))
+
+
+def parse_completion(raw, path):
+    """Return the checked body of a completion request.
+
+    :raises Refused: if it is not a request that could be served.
+    """
+    try:
+        body = json.loads(bytes(raw))
+    except ValueError:
+        raise _malformed("the body is not JSON")
+    if not isinstance(body, dict):
+        raise _malformed("the body is not an object")
+    if not isinstance(body.get("model"), str):
+        raise _malformed("'model' is not a string")
+    if path.endswith("/chat/completions"):
+        _check_messages(body.get("messages"))
+    elif not isinstance(body.get("prompt"), str):
+        raise _malformed("'prompt' is not a string")
+    tokens = body.setdefault("max_tokens", DEFAULT_MAX_TOKENS)
+    if type(tokens) is not int or not 0 < tokens <= MAX_TOKENS:
+        raise _malformed(f"'max_tokens' is not a number from 1 to {MAX_TOKENS}")
+    if body.get("priority", "batch") not in ("interactive", "batch"):
+        raise _malformed("'priority' is neither 'interactive' nor 'batch'")
+    return body
+
+
+def _check_messages(messages):
+    with suppress(TypeError, KeyError):
+        if messages and all(
+            isinstance(message["role"], str) and "content" in message
+            for message in messages
+        ):
+            return
+    raise _malformed("'messages' is not a list of objects with 'role' and 'content'")
+
+
+def _malformed(detail):
+    return Refused(not_run(RefusalCode.MALFORMED, detail))
+
+
+def _text_of(part):
+    choice = part["choices"][0]
+    return choice.get("text") or choice.get("delta", {}).get("content") or ""
--- /dev/null
+++ b/pimentogap/entry/_plain.py
@@ -0,0 +1,162 @@
+"""Handler of plain services: actions at most once, lookups hedged."""
+
+import asyncio
+import hashlib
+import json
+import re
+import uuid
+
+from tornado.iostream import StreamClosedError
+
+from pimentogap.actions import ActionCall, NotReplied, Replied
+from pimentogap.entry._base import BaseHandler
+from pimentogap.errors import Refused
+from pimentogap.metrics import Series
+from pimentogap.types import Refusal, RefusalCode, RunState, not_run
+from pimentogap.web import HttpRequest
+
+KEY_HEADER = "Idempotency-Key"
+REPLAYED_HEADER = "Idempotency-Replayed"
+KEY_PATTERN = re.compile(r"[!-~]{1,200}")
+
+
+class PlainServiceHandler(BaseHandler):
+    """Serves ``/services/NAME/PATH``."""
+
+    async def get(self, service_name, path):
+        await self._handle(service_name, path)
+
+    async def post(self, service_name, path):
+        await self._handle(service_name, path)
+
+    async def put(self, service_name, path):
+        await self._handle(service_name, path)
+
+    async def delete(self, service_name, path):
+        await self._handle(service_name, path)
+
+    async def _handle(self, service_name, path):
+        workspace_name = "-"
+        try:
+            configuration = self.kernel.get("configuration").current
+            workspace = self.admitted_workspace(None)
+            workspace_name = workspace.name
+            service = configuration.get("plain_service", service_name)
+            if service is None:
+                detail = f"no service is called {service_name}"
+                raise Refused(not_run(RefusalCode.UNKNOWN_SERVICE, detail))
+            self.admitted_workspace(service_name)
+            self.kernel.get("limits").charge(workspace)
+            if path.startswith(service.action_prefix):
+                outcome = await self._run_action(service, workspace, path)
+            else:
+                outcome = await self._look_up(service, workspace, path)
+        except Refused as error:
+            outcome = error.refusal.code
+            self.refuse(error.refusal)
+        except StreamClosedError:
+            outcome = "caller_left"
+        self.count(service_name, workspace_name, outcome)
+
+    async def _run_action(self, service, workspace, path):
+        began_at = self.kernel.clock.time()
+        key = self.request.headers.get(KEY_HEADER) or uuid.uuid4().hex
+        if not KEY_PATTERN.fullmatch(key) or "|" in key:
+            detail = f"{KEY_HEADER} is not 1 to 200 visible characters without '|'"
+            raise Refused(not_run(RefusalCode.MALFORMED, detail))
+        body = bytes(self.body)
+        target = self._target(path)
+        call = ActionCall(
+            workspace=workspace.name,
+            service=service.name,
+            key=key,
+            path=target,
+            method=self.request.method,
+            content_type=self.request.headers.get("Content-Type", ""),
+            body=body.decode("latin-1"),
+            body_digest=_digest(self.request.method, target, body),
+            deadline_in_s=self.remaining_s(),
+        )
+        trace = self.kernel.get("traces").begin(
+            self.request_id, workspace=workspace.name, service=service.name
+        )
+        trace.note("action", key)
+        outcome = await asyncio.shield(self.kernel.get("actions").run(call))
+        series = Series("action", service.name, workspace.name)
+        elapsed_s = self.kernel.clock.time() - began_at
+        self.kernel.get("metrics").observe(series, elapsed_s)
+        match outcome:
+            case Replied(answer, replayed):
+                self._write_answer(answer, replayed)
+                return "ok"
+            case NotReplied(refusal):
+                trace.note("not replied", refusal.detail)
+                self.refuse(refusal)
+                return refusal.code
+
+    def _write_answer(self, answer, replayed):
+        if answer.body is None:
+            detail = "the action ran; its answer was too large to be kept"
+            self.refuse(Refusal(RefusalCode.IN_DOUBT, RunState.RAN, detail), status=200)
+            return
+        self.set_status(answer.status)
+        self.set_header("Content-Type", answer.content_type or "application/json")
+        self.set_header("Run-State", RunState.RAN)
+        if replayed:
+            self.set_header(REPLAYED_HEADER, "true")
+        self.finish(answer.body.encode("latin-1"))
+
+    async def _look_up(self, service, workspace, path):
+        self.task = asyncio.current_task()
+        began_at = self.kernel.clock.time()
+        request = HttpRequest(
+            self.request.method, self._target(path), {}, bytes(self.body)
+        )
+        trace = self.kernel.get("traces").begin(
+            self.request_id, workspace=workspace.name, service=service.name
+        )
+        result = await self.kernel.get("lookups").look_up(
+            service, request, timeout_s=self.remaining_s(), trace=trace
+        )
+        series = Series("lookup", service.name, workspace.name)
+        elapsed_s = self.kernel.clock.time() - began_at
+        self.kernel.get("metrics").observe(series, elapsed_s)
+        match result:
+            case Refusal():
+                self.refuse(result)
+                return result.code
+            case response:
+                self.set_status(response.status)
+                content_type = response.headers.get("Content-Type", "application/json")
+                self.set_header("Content-Type", content_type)
+                self.finish(response.body)
+                return "ok"
+
+    def _target(self, path):
+        return f"{path}?{self.request.query}" if self.request.query else path
+
+
+class NotFoundHandler(BaseHandler):
+    """Answers for every other path."""
+
+    def prepare(self):
+        super().prepare()
+        if not self._finished:
+            detail = f"nothing is served at {self.request.path}"
+            self.refuse(not_run(RefusalCode.UNKNOWN_SERVICE, detail))
+
+
+class HealthHandler(BaseHandler):
+    """Tells the balancer whether the daemon runs, and whether it takes requests."""
+
+    def get(self, kind):
+        ready = kind == "healthz" or self.kernel.get("entry").is_ready()
+        self.set_status(200 if ready else 503)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps({"ok": ready}))
+
+
+def _digest(method, path, body):
+    digest = hashlib.sha256(f"{method} {path}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()[:32]
--- /dev/null
+++ b/pimentogap/limits/__init__.py
@@ -0,0 +1,7 @@
+"""Shares, fair queues and early refusals."""
+
+from pimentogap.limits._bucket import ShareBucket
+from pimentogap.limits._queue import FairQueue
+from pimentogap.limits._service import LimitService
+
+__all__ = ["FairQueue", "LimitService", "ShareBucket"]
--- /dev/null
+++ b/pimentogap/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters and histograms."""
+
+from pimentogap.metrics._service import MetricService, Series
+
+__all__ = ["MetricService", "Series"]
--- /dev/null
+++ b/pimentogap/operators/__init__.py
@@ -0,0 +1,5 @@
+"""The interface for operators."""
+
+from pimentogap.operators._service import OperatorService
+
+__all__ = ["OperatorService"]
--- /dev/null
+++ b/pimentogap/operators/_service.py
@@ -0,0 +1,65 @@
+"""The service that listens for operators."""
+
+from logbook import Logger
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from pimentogap.operators._handlers import (
+    ExplainHandler,
+    InDoubtHandler,
+    MetricsHandler,
+    StatusHandler,
+    TicketHandler,
+    TicketsHandler,
+)
+
+log = Logger("operators")
+
+MAX_TICKET_BYTES = 2**20
+
+
+class OperatorService:
+    """Serves the operators' client over HTTP."""
+
+    name = "operators"
+    requires = (
+        "configuration",
+        "peers",
+        "fleet",
+        "groups",
+        "routing",
+        "streams",
+        "actions",
+        "traces",
+        "metrics",
+    )
+    __slots__ = ("_address", "_server")
+
+    def __init__(self, address):
+        """Prepare to listen on ``address``."""
+        self._address = address
+        self._server = None
+
+    async def start(self, kernel):
+        """Listen on the operators' address."""
+        context = {"kernel": kernel}
+        application = Application(
+            [
+                (r"/tickets", TicketsHandler, context),
+                (r"/tickets/(\d+)", TicketHandler, context),
+                (r"/status", StatusHandler, context),
+                (r"/explain/(group|vm|request)/(.+)", ExplainHandler, context),
+                (r"/actions/in-doubt", InDoubtHandler, context),
+                (r"/metrics", MetricsHandler, context),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._server = HTTPServer(application, max_body_size=MAX_TICKET_BYTES)
+        host, _, port = self._address.rpartition(":")
+        self._server.listen(int(port), host.strip("[]"))
+        log.notice("operators are served on {}", self._address)
+
+    async def stop(self):
+        """Stop listening."""
+        self._server.stop()
+        await self._server.close_all_connections()
--- /dev/null
+++ b/pimentogap/routing/_policy.py
@@ -0,0 +1,106 @@
+"""Chooses the backend server of a request."""
+
+from dataclasses import dataclass
+
+from pimentogap.routing._replicas import Replica
+from pimentogap.types import Refusal, RefusalCode, not_run
+
+RANDOM_CANDIDATES = 2
+PREFIX_CANDIDATES = 2
+BLOCK_PREFILL_S = 0.0016
+FULL_LOAD_S = 0.25
+OVERLOAD_S = 2.0
+OTHER_ZONE_S = 0.002
+STRAGGLER_RATIO = 2.5
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Send the request to ``replica``; ``considered`` says what each would cost."""
+
+    replica: Replica
+    considered: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class Considered:
+    """One candidate and its estimated cost in seconds."""
+
+    server_id: str
+    cost_s: float
+    cached_blocks: int
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Answer the caller that the request was not run."""
+
+    refusal: Refusal
+
+
+class PlacementPolicy:
+    """Weighs cached prefixes, load, distance, speed and trust.
+
+    Of many servers only a few are compared: those that hold most of the
+    prompt's prefix, and some at random. Daemons that share late reports
+    therefore do not all pick the same idle server.
+    """
+
+    __slots__ = ("_random", "_zone")
+
+    def __init__(self, random, *, availability_zone):
+        self._random = random
+        self._zone = availability_zone
+
+    def decide(self, replicas, *, blocks, now, excluded=()):
+        """Return `Forward` or `Refuse`.
+
+        :param replicas: the servers of the service that the daemon knows.
+        :param blocks: the prompt's prefix blocks, empty for a plain service.
+        :param now: seconds of the runtime's clock.
+        :param excluded: ids of servers that this request has failed at.
+        """
+        permitted = [r for r in replicas if r.permitted(now)]
+        usable = [r for r in permitted if r.server.id not in excluded]
+        healthy = [r for r in usable if now >= r.ejected_until]
+        if not usable:
+            detail = f"none of {len(replicas)} backend servers is complete and healthy"
+            code = RefusalCode.NO_CAPACITY
+            return Refuse(not_run(code, detail, retry_after_s=RETRY_AFTER_S))
+        candidates = self._candidates(healthy or usable, blocks)
+        step_s = self._typical_step(usable)
+        costs = [(self._cost(r, blocks, now, step_s), r) for r in candidates]
+        considered = tuple(
+            Considered(r.server.id, round(c, 4), r.cached_blocks(blocks), r.load())
+            for c, r in costs
+        )
+        _, best = min(costs, key=lambda pair: pair[0])
+        return Forward(best, considered)
+
+    def _candidates(self, replicas, blocks):
+        count = min(RANDOM_CANDIDATES, len(replicas))
+        chosen = self._random.sample(replicas, count)
+        if blocks:
+            holders = [r for r in replicas if blocks[0] in r.blocks]
+            holders.sort(key=lambda r: (-r.cached_blocks(blocks), r.load()))
+            chosen.extend(r for r in holders[:PREFIX_CANDIDATES] if r not in chosen)
+        return chosen
+
+    def _cost(self, replica, blocks, now, step_s):
+        capacity = replica.capacity * replica.trust(now)
+        load = (replica.load() + 1) / capacity
+        cost_s = FULL_LOAD_S * load
+        if load > 1:
+            cost_s += OVERLOAD_S * (load - 1)
+        cost_s += BLOCK_PREFILL_S * (len(blocks) - replica.cached_blocks(blocks))
+        if replica.server.availability_zone != self._zone:
+            cost_s += OTHER_ZONE_S
+        if step_s and replica.step_s and replica.step_s > STRAGGLER_RATIO * step_s:
+            cost_s *= replica.step_s / step_s
+        return cost_s
+
+    def _typical_step(self, replicas):
+        steps = sorted(r.step_s for r in replicas if r.step_s is not None)
+        return steps[len(steps) // 2] if steps else None
--- /dev/null
+++ b/pimentogap/routing/_subset.py
@@ -0,0 +1,27 @@
+"""Chooses the backend servers that one daemon keeps in touch with."""
+
+import hashlib
+
+SUBSET_SIZE = 24
+
+
+def choose_subset(daemon_id, servers, *, availability_zone, size=SUBSET_SIZE):
+    """Return at most ``size`` of ``servers`` for one daemon.
+
+    Servers are ranked by rendezvous hash, so that a server or daemon that comes
+    or goes changes few choices. Two in three come from the daemon's own
+    availability zone while it has as many.
+    """
+    if len(servers) <= size:
+        return list(servers)
+    ranked = sorted(servers, key=lambda server: _rank(daemon_id, server))
+    near = [s for s in ranked if s.availability_zone == availability_zone]
+    chosen = near[: size * 2 // 3]
+    ids = {server.id for server in chosen}
+    rest = [server for server in ranked if server.id not in ids]
+    return chosen + rest[: size - len(chosen)]
+
+
+def _rank(daemon_id, server):
+    text = f"{daemon_id}|{server.id.partition('/')[0]}|{server.service}"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- /dev/null
+++ b/pimentogap/traces/__init__.py
@@ -0,0 +1,5 @@
+"""Traces of recent requests."""
+
+from pimentogap.traces._service import Trace, TraceService
+
+__all__ = ["Trace", "TraceService"]
