Fuzz racing operators against a plain list of accepted tickets

Cause: a daemon that judged its reach by gossip could serve an old revision beside a partition: a ticket is accepted on the side that has the store while the other side still counts as half of the fleet. Change: a ticket is written only after more than half of the daemons have noted its number, and a daemon that cannot ask the store serves on only while a direct poll reaches half of them and none has heard of a newer ticket. A suite of random histories on a paused clock checks the 4 s limit, the log, lost updates and what students were told. Also found: services were handed out by name before they had started.

--- /dev/null
+++ b/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing: random histories with faults, judged by simple oracles."""
--- /dev/null
+++ b/fuzz/__main__.py
@@ -0,0 +1,42 @@
+"""Runs one suite, or all of them: ``python -m fuzz NAME --seed N --examples N``."""
+
+import argparse
+import os
+import sys
+
+HASH_SEED = "0"
+
+
+def main():
+    """Run the suites that the arguments name and return the exit code."""
+    from fuzz import _tickets
+    from fuzz._driver import run_suite
+
+    suites = {suite.name: suite for suite in (_tickets.SUITE,)}
+    parser = argparse.ArgumentParser(prog="python -m fuzz")
+    parser.add_argument("name", choices=[*suites, "all"])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--examples", type=int, default=100)
+    parser.add_argument("--shrink", action="store_true")
+    options = parser.parse_args()
+    chosen = suites.values() if options.name == "all" else [suites[options.name]]
+    passed = [
+        run_suite(
+            suite,
+            seed=options.seed,
+            examples=options.examples,
+            shrink=options.shrink,
+        )
+        for suite in chosen
+    ]
+    return 0 if all(passed) else 1
+
+
+if __name__ == "__main__":
+    if os.environ.get("PYTHONHASHSEED") != HASH_SEED:
+        # Sets of strings are iterated in the same order in every run.
+        arguments = [sys.executable, "-m", "fuzz", *sys.argv[1:]]
+        os.execve(
+            sys.executable, arguments, {**os.environ, "PYTHONHASHSEED": HASH_SEED}
+        )
+    sys.exit(main())
--- /dev/null
+++ b/fuzz/_driver.py
@@ -0,0 +1,58 @@
+"""Runs a suite of histories with a seed, and says how to repeat a failure."""
+
+import gc
+import sys
+import traceback
+
+import logbook
+from hypothesis import HealthCheck, Phase, given, seed as with_seed, settings
+
+from standins.paused import run_paused
+
+MAX_STEPS = 24
+
+
+class Suite:
+    """A name, a strategy of histories, and the check of one history."""
+
+    __slots__ = ("name", "histories", "check")
+
+    def __init__(self, name, histories, check):
+        self.name = name
+        self.histories = histories
+        self.check = check
+
+
+def run_suite(suite, *, seed, examples, shrink=False):
+    """Run ``examples`` histories; return whether all of them passed.
+
+    :param shrink: look for a shorter history after a failure, which takes long.
+    """
+    ran = 0
+
+    @with_seed(seed)
+    @settings(
+        max_examples=examples,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate, Phase.shrink] if shrink else [Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(suite.histories)
+    def check_history(history):
+        nonlocal ran
+        ran += 1
+        with logbook.NullHandler().applicationbound():
+            run_paused(suite.check(history))
+        if ran % 50 == 0:
+            gc.collect()
+
+    try:
+        check_history()
+    except Exception:
+        traceback.print_exc(limit=-4)
+        command = f"python -m fuzz {suite.name} --seed {seed} --examples {examples}"
+        print(f"FAILED after {ran} histories; repeat it by: {command}", file=sys.stderr)
+        return False
+    print(f"fuzz {suite.name}: {ran} histories passed with seed {seed}")
+    return True
--- a/pimentogap/kernel/_kernel.py
+++ b/pimentogap/kernel/_kernel.py
@@ -62,8 +62,8 @@
             raise ServiceNotFound(name)
 
     def find(self, name):
-        """Return the service called ``name``, or ``None``."""
-        return self._services_by_name.get(name)
+        """Return the service called ``name`` if it has started, or ``None``."""
+        return self._services_by_name[name] if name in self._started_names else None
 
     def spawn(self, owner, function, *args, on_error=None):
         """Run ``function(*args)`` as a supervised task of the service ``owner``.
@@ -94,6 +94,12 @@
                 log.exception("service {} did not stop in order", name)
             await self._supervisor.cancel(name)
 
+    async def abort(self):
+        """Cancel every task at once, without an orderly stop."""
+        self._started_names.clear()
+        for name in self._services_by_name:
+            await self._supervisor.cancel(name)
+
     async def wait_for_failure(self):
         """Wait until a task that the kernel cannot do without has failed."""
         return await asyncio.shield(self._supervisor.failure)
--- a/pimentogap/peers/_encoding.py
+++ b/pimentogap/peers/_encoding.py
@@ -41,11 +41,13 @@
             return pb.Entry(hello=hello)
         case Ping(number):
             return pb.Entry(ping=pb.Ping(number=number))
-        case Pong(number, revision, age_s):
-            age_ms = NEVER_CONFIRMED_MS
-            if not math.isinf(age_s):
-                age_ms = min(MAX_AGE_MS, math.ceil(age_s * 1000))
-            pong = pb.Pong(number=number, revision=revision, confirmed_age_ms=age_ms)
+        case Pong(number, revision, age_s, newest_heard):
+            pong = pb.Pong(
+                number=number,
+                revision=revision,
+                confirmed_age_ms=_encode_age(age_s),
+                newest_heard=newest_heard,
+            )
             return pb.Entry(pong=pong)
         case Member():
             return pb.Entry(member=_encode_member(entry))
@@ -67,6 +69,16 @@
             return pb.Entry(vm_leaving=pb.VmLeaving(id=id, incarnation=incarnation))
 
 
+def _encode_age(age_s):
+    if math.isinf(age_s):
+        return NEVER_CONFIRMED_MS
+    return min(MAX_AGE_MS, math.ceil(age_s * 1000))
+
+
+def _decode_age(age_ms):
+    return math.inf if age_ms == NEVER_CONFIRMED_MS else age_ms / 1000
+
+
 def _encode_member(member):
     return pb.Member(
         id=member.id,
@@ -90,9 +102,8 @@
         case "ping":
             return Ping(message.number)
         case "pong":
-            age_ms = message.confirmed_age_ms
-            age_s = math.inf if age_ms == NEVER_CONFIRMED_MS else age_ms / 1000
-            return Pong(message.number, message.revision, age_s)
+            age_s = _decode_age(message.confirmed_age_ms)
+            return Pong(message.number, message.revision, age_s, message.newest_heard)
         case "member":
             return _decode_member(message)
         case "ticket":
--- a/pimentogap/peers/_entries.py
+++ b/pimentogap/peers/_entries.py
@@ -32,11 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Says how long ago the store confirmed ``revision`` to the speaker."""
+    """Says how long ago the store confirmed ``revision`` to the speaker.
+
+    ``newest_heard`` is the newest ticket that it has heard of, accepted or not.
+    """
 
     number: int
     revision: int
     confirmed_age_s: float
+    newest_heard: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/pimentogap/peers/_service.py
+++ b/pimentogap/peers/_service.py
@@ -1,10 +1,17 @@
 """The service that keeps sessions with other daemons and passes on what is new."""
 
 import asyncio
+import math
+from dataclasses import dataclass
 
 from logbook import Logger
 
-from pimentogap.errors import PeerRefused, PeerUnreachable, SnapshotDamaged
+from pimentogap.errors import (
+    PeerRefused,
+    PeerUnreachable,
+    ResponseLost,
+    SnapshotDamaged,
+)
 from pimentogap.kernel import RestartOnError
 from pimentogap.peers._entries import (
     Hello,
@@ -36,10 +43,22 @@
 SUSPECT_DURATION_S = 2.0
 MAINTENANCE_INTERVAL_S = 0.25
 PROBE_INTERVAL_S = 2.0
-FORGET_DEAD_S = 600.0
+FORGET_DEAD_S = 6 * 3600.0
 MAX_TICKETS_SENT = 200
 STATUS_CALL = "peers.status"
-STATUS_TIMEOUT_S = 1.0
+INTENT_CALL = "peers.intent"
+ASK_TIMEOUT_S = 1.0
+POLL_INTERVAL_S = 1.0
+POLL_AFTER_S = 2.0
+POLL_VALID_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReachPoll:
+    """When the fleet was last asked directly, and who answered."""
+
+    asked_at: float
+    reach: Reach
 
 
 class PeerSession:
@@ -81,7 +100,7 @@
         "_leaving_subscribers",
         "_call_handlers_by_service",
         "_learning_from",
-        "newest_heard",
+        "_poll",
     )
 
     def __init__(self, daemon, transport, *, seeds, incarnation):
@@ -106,16 +125,19 @@
         self._kernel = None
         self._transport = transport
         self._seeds = [seed for seed in seeds if seed != daemon.peer_address]
-        self._sessions = set()
+        self._sessions = {}
         self._tasks_by_peer_id = {}
         self._suspected_at_by_id = {}
         self._dead_at_by_id = {}
         self._next_ping = 0
         self._object_subscribers = []
         self._leaving_subscribers = []
-        self._call_handlers_by_service = {STATUS_CALL: self._answer_status}
+        self._call_handlers_by_service = {
+            STATUS_CALL: self._answer_status,
+            INTENT_CALL: self._answer_intent,
+        }
         self._learning_from = None
-        self.newest_heard = 0
+        self._poll = ReachPoll(-math.inf, Reach(1, 1))
 
     async def start(self, kernel):
         """Listen, and begin to keep sessions with the neighbours."""
@@ -130,7 +152,7 @@
             kernel.spawn(self.name, self._join_by, seed, on_error=RestartOnError())
         kernel.spawn(self.name, self._maintain, on_error=RestartOnError())
         kernel.spawn(self.name, self._probe_unreachable, on_error=RestartOnError())
-        kernel.spawn(self.name, self._ask_majority, on_error=RestartOnError())
+        kernel.spawn(self.name, self._poll_fleet, on_error=RestartOnError())
 
     async def stop(self):
         """Tell the neighbours that the daemon leaves, and close."""
@@ -143,19 +165,33 @@
         self._renew_own(status=MemberStatus.STOPPING)
 
     def reach(self):
-        """Return the `Reach` of this daemon.
+        """Return the daemons known and those in reach, as far as gossip tells."""
+        return self.table.reach()
+
+    def polled_reach(self):
+        """Return the `Reach` that direct answers prove; stale ones prove nothing."""
+        age_s = self._kernel.clock.time() - self._poll.asked_at
+        known = self.table.reach().known
+        return self._poll.reach if age_s <= POLL_VALID_S else Reach(known, 1)
 
-        Without one recent answer from a neighbour the table proves nothing,
-        and the daemon counts itself alone.
+    async def gather_majority(self, revision):
+        """Tell the fleet that ``revision`` is about to be written.
+
+        :return: whether more than half of the known daemons have noted it.
         """
-        reach = self.table.reach()
-        now = self._kernel.clock.time()
-        recent = any(
-            session.last_pong_at is not None
-            and now - session.last_pong_at <= SESSION_TIMEOUT_S
-            for session in self._sessions
-        )
-        return reach if recent or reach.known == 1 else Reach(reach.known, 1)
+        asked = [
+            self._ask(member, INTENT_CALL, {"revision": revision})
+            for member in self._others()
+        ]
+        known = self.table.reach().known
+        noted = 1
+        if Reach(known, noted).majority:
+            return True
+        for answer in asyncio.as_completed(asked):
+            noted += await answer is not None
+            if Reach(known, noted).majority:
+                return True
+        return False
 
     def is_watcher(self):
         """Return whether this daemon follows the store for its availability zone."""
@@ -245,12 +281,12 @@
             session.post(member)
         for held in self.objects_by_name.values():
             session.post(ObjectAnnounced(held.name, held.version))
-        self._sessions.add(session)
+        self._sessions[session] = True
         sender = asyncio.create_task(self._send_entries(stream, session))
         try:
             await self._receive_entries(stream, session, until)
         finally:
-            self._sessions.discard(session)
+            self._sessions.pop(session, None)
             sender.cancel()
 
     async def _send_entries(self, stream, session):
@@ -294,7 +330,7 @@
             case Ping(number):
                 revision = configuration.current.revision
                 age_s = configuration.confirmed_age()
-                session.post(Pong(number, revision, age_s))
+                session.post(Pong(number, revision, age_s, configuration.newest_heard))
             case Pong():
                 self._take_pong(session, entry)
             case Member():
@@ -327,11 +363,12 @@
         session.last_pong_at = now
         configuration = self._kernel.get("configuration")
         configuration.confirm(sent_at - pong.confirmed_age_s, pong.revision)
+        configuration.heard(pong.newest_heard)
         self._heard_revision(session, pong.revision)
 
     def _heard_revision(self, session, revision):
         configuration = self._kernel.get("configuration")
-        self.newest_heard = max(self.newest_heard, revision)
+        configuration.heard(revision)
         if revision > configuration.current.revision:
             session.post(TicketsWanted(configuration.current.revision))
 
@@ -385,9 +422,6 @@
             log.error("a peer sent a damaged snapshot: {}", error)
 
     def _configuration_changed(self, accepted):
-        self.newest_heard = max(
-            self.newest_heard, self._kernel.get("configuration").current.revision
-        )
         if accepted is not None:
             self._flood(TicketSent(accepted.number, dump_accepted(accepted)))
         self._renew_own(applied=True)
@@ -467,39 +501,61 @@
                     until=lambda: self._kernel.clock.time() >= deadline,  # noqa: B023
                 )
 
-    async def _ask_majority(self):
-        """Learn a configuration without the store, from more than half of the fleet.
+    async def _poll_fleet(self):
+        """Ask every daemon directly while the store does not confirm the revision.
 
-        One peer may be behind; a ticket that is in force has reached more than
-        half of the daemons, so the newest of their revisions includes it.
+        A daemon without a configuration may trust the newest revision that more
+        than half of the others know: every ticket in force is among theirs. One
+        with a configuration learns whether half of the fleet is in reach, and
+        whether any of it has heard of a newer ticket.
         """
         configuration = self._kernel.get("configuration")
-        while not configuration.loaded:
-            await self._kernel.clock.sleep(self._jittered(RECONNECT_DELAY_S))
-            others = [m for m in self.table.in_reach() if m.id != self.table.own_id]
-            answers = await asyncio.gather(*(self._ask_status(m) for m in others))
-            revisions = [revision for revision in answers if revision is not None]
+        while True:
+            await self._kernel.clock.sleep(self._jittered(POLL_INTERVAL_S))
+            if configuration.loaded and configuration.confirmed_age() < POLL_AFTER_S:
+                continue
+            asked_at = self._kernel.clock.time()
+            others = self._others()
+            answers = await asyncio.gather(
+                *(self._ask(member, STATUS_CALL, {}) for member in others)
+            )
             known = self.table.reach().known
-            if revisions and len(revisions) * 2 > known - 1:
-                configuration.trust_from(max(revisions))
-
-    async def _ask_status(self, member):
+            heard = [answer for answer in answers if answer is not None]
+            for answer in heard:
+                configuration.heard(answer["newest_heard"])
+            self._poll = ReachPoll(asked_at, Reach(known, 1 + len(heard)))
+            loaded = [answer["newest_heard"] for answer in heard if answer["loaded"]]
+            if loaded and len(loaded) * 2 > known - 1:
+                configuration.trust_from(max(loaded))
+
+    def _others(self):
+        return [
+            member
+            for member in self.table.members_by_id.values()
+            if member.id != self.table.own_id and member.status != MemberStatus.LEFT
+        ]
+
+    async def _ask(self, member, service, body):
+        """Return the plain answer of a daemon, or ``None`` if there is none."""
         try:
-            answer = await self._transport.call(
-                member.peer_address, STATUS_CALL, {}, timeout_s=STATUS_TIMEOUT_S
+            return await self._transport.call(
+                member.peer_address, service, body, timeout_s=ASK_TIMEOUT_S
             )
-        except Exception as error:
-            log.debug("{} did not say its revision: {!r}", member.id, error)
+        except (PeerUnreachable, ResponseLost) as error:
+            log.debug("{} does not answer {}: {}", member.id, service, error)
             return None
-        return answer["revision"] if answer["loaded"] else None
 
     async def _answer_status(self, body):
         configuration = self._kernel.get("configuration")
         return {
-            "revision": configuration.current.revision,
+            "newest_heard": configuration.newest_heard,
             "loaded": configuration.loaded,
         }
 
+    async def _answer_intent(self, body):
+        self._kernel.get("configuration").heard(body["revision"])
+        return {}
+
     async def _answer_call(self, service, body):
         handler = self._call_handlers_by_service.get(service)
         if handler is None:
--- a/pimentogap/tickets/_service.py
+++ b/pimentogap/tickets/_service.py
@@ -21,6 +21,7 @@
 FOLLOW_RETRY_S = 0.25
 FOLLOWER_CHECK_S = 0.5
 RECENT_TICKETS = 500
+INTENT_LIFETIME_S = 10.0
 
 
 class ConfigurationService:
@@ -38,6 +39,8 @@
         "recent_by_number",
         "applied_at_by_number",
         "loaded",
+        "newest_heard",
+        "_heard_at",
         "_kernel",
         "_log",
         "_confirmed_at",
@@ -50,6 +53,8 @@
         self.recent_by_number = {}
         self.applied_at_by_number = {}
         self.loaded = False
+        self.newest_heard = 0
+        self._heard_at = -math.inf
         self._kernel = None
         self._log = None
         self._confirmed_at = -math.inf
@@ -83,8 +88,8 @@
         return judge(
             loaded=self.loaded,
             age_s=self.confirmed_age(),
-            reach=self._reach(),
-            behind=peers is not None and peers.newest_heard > self.current.revision,
+            reach=peers.polled_reach() if peers is not None else Reach(1, 1),
+            behind=self.newest_heard > self.current.revision,
         )
 
     def confirmed_age(self):
@@ -93,10 +98,19 @@
 
     def confirm(self, confirmed_at, revision):
         """Note that at ``confirmed_at`` the store's newest ticket was ``revision``."""
-        if revision <= self.current.revision:
-            self._confirmed_at = max(self._confirmed_at, confirmed_at)
-            if self.confirmed_age() <= CURRENT_LIMIT_S:
-                self.loaded = True
+        if revision > self.current.revision:
+            return
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        if self.confirmed_age() <= CURRENT_LIMIT_S:
+            self.loaded = True
+        if confirmed_at > self._heard_at + INTENT_LIFETIME_S:
+            self.newest_heard = self.current.revision
+
+    def heard(self, revision):
+        """Note that ticket ``revision`` was accepted, or is about to be."""
+        if revision > self.newest_heard:
+            self.newest_heard = revision
+            self._heard_at = self._kernel.clock.time()
 
     def trust_from(self, revision):
         """Trust the configuration once it has reached ``revision``."""
@@ -143,8 +157,6 @@
         :return: `Accepted`, `AlreadyAccepted`, `Outdated`, `Invalid`,
             `NotAccepted` or `OutcomeUnknown`.
         """
-        if not self._reach().majority:
-            return NotAccepted("less than the majority of the daemons is in reach")
         async with self._submitting:
             try:
                 return await self._submit(ticket)
@@ -156,10 +168,6 @@
         accepted = self.recent_by_number.get(number)
         return accepted or await self._log.read(number)
 
-    def _reach(self):
-        peers = self._kernel.find("peers")
-        return peers.reach() if peers is not None else Reach(1, 1)
-
     async def _submit(self, ticket):
         clock = self._kernel.clock
         while True:
@@ -171,6 +179,8 @@
             )
             if not isinstance(decision, Accept):
                 return decision
+            if not await self._announce_intent(decision.accepted.number):
+                return NotAccepted("the majority of the daemons is not in reach")
             match await self._log.append(decision.accepted):
                 case Written():
                     self.learn(decision.accepted)
@@ -184,6 +194,17 @@
                 case Unsettled():
                     return OutcomeUnknown(decision.accepted.number)
 
+    async def _announce_intent(self, number):
+        """Have more than half of the fleet note ``number`` before it is written.
+
+        A daemon that cannot ask the store serves only while half of the fleet
+        is in reach and none of it has heard of a newer ticket, so none can go
+        on with an older configuration once this has succeeded.
+        """
+        self.heard(number)
+        peers = self._kernel.find("peers")
+        return peers is None or await peers.gather_majority(number)
+
     async def _read_newer(self):
         while True:
             accepted = await self._log.read(self.current.revision + 1)
@@ -241,6 +262,7 @@
                 await self._log.compact()
 
     def _announce(self, accepted):
+        self.heard(self.current.revision)
         now = self._kernel.clock.wall()
         self.applied_at_by_number[self.current.revision] = now
         while len(self.applied_at_by_number) > RECENT_TICKETS:
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -4,6 +4,7 @@
 import json
 import random
 from collections import deque
+from dataclasses import dataclass
 from urllib.parse import unquote
 
 from pimentogap.store import Stored
@@ -33,6 +34,15 @@
         self.rate_limit_per_s = 0
 
 
+@dataclass(frozen=True, slots=True)
+class WrittenVersion:
+    """The platform's own record of one version of one object."""
+
+    at_s: float
+    collection: str
+    stored: Stored
+
+
 class Platform:
     """Objects with versions, conditional writes and watches; a lagging VM list."""
 
@@ -156,7 +166,8 @@
         else:
             objects[name] = stored
         self._history.append((collection, stored))
-        self.versions_written.append((collection, stored))
+        now = asyncio.get_running_loop().time()
+        self.versions_written.append(WrittenVersion(now, collection, stored))
         self._changed.set()
         self._changed = asyncio.Event()
         return 200, {"version": self.revision}
--- /dev/null
+++ b/standins/local_fleet.py
@@ -0,0 +1,374 @@
+"""A whole fleet in one process: daemons on a paused clock, with faults between them."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from pimentogap.errors import PeerUnreachable, ResponseLost
+from pimentogap.programs import assemble
+from pimentogap.settings import DaemonSettings, PeerSettings, Settings, StoreSettings
+from pimentogap.store import HttpTransport
+from standins._engines import EngineFleet, EngineTiming, WeightStore, make_vms
+from standins._network import LocalNetwork
+from standins._plain import PlainBook, PlainServer
+from standins._platform import Platform
+
+PLATFORM_ADDRESS = "10.0.0.1:1"
+FLEET_KEY = "a-key-for-tests-only"
+LINK_DELAY_S = 0.001
+
+
+class Gate:
+    """Holds back everything that a paused daemon sends or receives."""
+
+    __slots__ = ("_open",)
+
+    def __init__(self):
+        self._open = asyncio.Event()
+        self._open.set()
+
+    @property
+    def paused(self):
+        """Return whether everything is held back."""
+        return not self._open.is_set()
+
+    def pause(self):
+        """Hold everything back from now on."""
+        self._open.clear()
+
+    def resume(self):
+        """Let everything through again."""
+        self._open.set()
+
+    async def passed(self):
+        """Wait until the daemon is not paused."""
+        await self._open.wait()
+
+
+class GatedClient:
+    """An HTTP client that waits while its daemon is paused."""
+
+    __slots__ = ("_client", "_gate")
+
+    def __init__(self, client, gate):
+        self._client = client
+        self._gate = gate
+
+    async def fetch(self, address, request, *, timeout_s, fresh=False):
+        """Send ``request`` once the daemon runs; see the answer once it runs."""
+        await self._gate.passed()
+        response = await self._client.fetch(
+            address, request, timeout_s=timeout_s, fresh=fresh
+        )
+        await self._gate.passed()
+        return response
+
+    async def exchange(self, address, request, receiver, *, fresh=False):
+        """Send ``request`` once the daemon runs."""
+        await self._gate.passed()
+        await self._client.exchange(address, request, receiver, fresh=fresh)
+
+
+class LocalPeerNetwork:
+    """Sessions and calls between daemons, with links that can be cut."""
+
+    __slots__ = ("transports_by_address", "cut_links")
+
+    def __init__(self):
+        self.transports_by_address = {}
+        self.cut_links = set()
+
+    def is_cut(self, one, other):
+        """Return whether nothing passes between two addresses."""
+        return (one, other) in self.cut_links or (other, one) in self.cut_links
+
+
+class LocalPeerTransport:
+    """The interface of `pimentogap.peers.GrpcTransport` within one process."""
+
+    __slots__ = (
+        "_network",
+        "_gate",
+        "address",
+        "accept_session",
+        "answer_call",
+        "_tasks",
+    )
+
+    def __init__(self, network, gate):
+        self._network = network
+        self._gate = gate
+        self.address = None
+        self.accept_session = None
+        self.answer_call = None
+        self._tasks = set()
+
+    async def listen(self, address, accept_session, answer_call):
+        """Accept sessions and calls to ``address``."""
+        self.address = address
+        self.accept_session = accept_session
+        self.answer_call = answer_call
+        self._network.transports_by_address[address] = self
+
+    async def close(self):
+        """Accept nothing more."""
+        if self._network.transports_by_address.get(self.address) is self:
+            del self._network.transports_by_address[self.address]
+        for task in list(self._tasks):
+            task.cancel()
+
+    @asynccontextmanager
+    async def open_session(self, address):
+        """Yield a session with the daemon at ``address``."""
+        await self._gate.passed()
+        other = self._reach(address)
+        here, there = _session_pair(self, other, self._network)
+        task = asyncio.ensure_future(other.accept(there))
+        other._tasks.add(task)
+        task.add_done_callback(other._tasks.discard)
+        try:
+            yield here
+        finally:
+            here.end()
+
+    async def accept(self, session):
+        """Run a session that another daemon opened."""
+        try:
+            await self.accept_session(session)
+        except PeerUnreachable:
+            pass
+        finally:
+            session.end()
+
+    async def call(self, address, service, body, *, timeout_s):
+        """Have the daemon at ``address`` answer."""
+        await self._gate.passed()
+        other = self._reach(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(LINK_DELAY_S)
+                await other._gate.passed()
+                if self._network.transports_by_address.get(address) is not other:
+                    raise ResponseLost(f"{address} is gone")
+                answer = await asyncio.shield(
+                    asyncio.ensure_future(other.answer_call(service, body))
+                )
+                await asyncio.sleep(LINK_DELAY_S)
+                if self._network.is_cut(self.address, address):
+                    raise ResponseLost("the link is cut")
+        except TimeoutError:
+            raise ResponseLost("no answer in time")
+        await self._gate.passed()
+        return answer
+
+    def _reach(self, address):
+        other = self._network.transports_by_address.get(address)
+        if other is None or self._network.is_cut(self.address, address):
+            raise PeerUnreachable(address)
+        return other
+
+
+class LocalSession:
+    """One side of a session."""
+
+    __slots__ = ("_own", "_other", "_network", "_in", "_out", "ended")
+
+    def __init__(self, own, other, network, inbox, outbox):
+        self._own = own
+        self._other = other
+        self._network = network
+        self._in = inbox
+        self._out = outbox
+        self.ended = False
+
+    async def send(self, entries):
+        """Send ``entries`` unless the link is cut, in which case they are lost."""
+        await self._own._gate.passed()
+        if self.ended:
+            raise PeerUnreachable("the session has ended")
+        if not self._network.is_cut(self._own.address, self._other.address):
+            self._out.put_nowait(list(entries))
+
+    async def receive(self):
+        """Return the next entries."""
+        entries = await self._in.get()
+        await asyncio.sleep(LINK_DELAY_S)
+        await self._own._gate.passed()
+        if entries is None:
+            raise PeerUnreachable("the other side ended the session")
+        return entries
+
+    def end(self):
+        """End the session for both sides."""
+        if not self.ended:
+            self.ended = True
+            self._out.put_nowait(None)
+
+
+class LocalDaemon:
+    """One daemon of the fleet, and the faults around it."""
+
+    __slots__ = ("index", "kernel", "gate", "transport", "incarnation", "settings")
+
+    def __init__(self, index, kernel, gate, transport, incarnation, settings):
+        self.index = index
+        self.kernel = kernel
+        self.gate = gate
+        self.transport = transport
+        self.incarnation = incarnation
+        self.settings = settings
+
+    def get(self, name):
+        """Return one of the daemon's services."""
+        return self.kernel.get(name)
+
+
+class LocalFleet:
+    """Daemons, the platform, engines and plain servers in one process."""
+
+    __slots__ = (
+        "platform",
+        "engines",
+        "book",
+        "plain_servers",
+        "network",
+        "peer_network",
+        "daemons_by_index",
+        "zones",
+        "_seed",
+        "_starts",
+        "_daemons",
+    )
+
+    def __init__(
+        self,
+        *,
+        daemons=3,
+        zones=("z-a", "z-b", "z-c"),
+        seed=0,
+        domains_per_zone=1,
+        vms_per_domain=3,
+        unchecked_domains=(),
+        plain_servers=2,
+        weight_bytes_per_s=20e9,
+        timing=None,
+    ):
+        self.platform = Platform(seed=seed)
+        self.network = LocalNetwork()
+        self.peer_network = LocalPeerNetwork()
+        self.network.handlers_by_address[PLATFORM_ADDRESS] = self.platform
+        self.daemons_by_index = {}
+        self.zones = zones
+        self._seed = seed
+        self._starts = 0
+        self._daemons = daemons
+        self.engines = EngineFleet(
+            timing=timing or EngineTiming(),
+            weight_store=WeightStore(weight_bytes_per_s),
+        )
+        self.engines.on_change = self.platform.set_vms
+        for vm in make_vms(
+            region="r",
+            zones=zones,
+            domains_per_zone=domains_per_zone,
+            vms_per_domain=vms_per_domain,
+            host="10.0.1.1",
+            first_port=1000,
+        ):
+            checks = vm.fabric_domain not in unchecked_domains
+            engine = self.engines.add(vm, checks_fencing_number=checks)
+            self.network.handlers_by_address[vm.address] = engine
+        self.engines.publish()
+        self.book = PlainBook()
+        self.plain_servers = [
+            PlainServer(f"plain-{index}", self.book) for index in range(plain_servers)
+        ]
+        for index, server in enumerate(self.plain_servers):
+            self.network.handlers_by_address[f"10.0.2.1:{index + 1}"] = server
+
+    async def start(self):
+        """Start every daemon."""
+        for index in range(self._daemons):
+            await self.start_daemon(index)
+
+    async def start_daemon(self, index):
+        """Start daemon ``index`` as a new incarnation."""
+        self._starts += 1
+        gate = Gate()
+        settings = self._settings(index)
+        transport = LocalPeerTransport(self.peer_network, gate)
+        client = GatedClient(self.network.client(f"daemon-{index}"), gate)
+        kernel = assemble(
+            settings,
+            http=client,
+            store_transport=HttpTransport(client, PLATFORM_ADDRESS),
+            peer_transport=transport,
+            incarnation=self._starts,
+            seed=self._seed * 1000 + self._starts,
+        )
+        daemon = LocalDaemon(
+            index, kernel, gate, transport, self._starts, settings.daemon
+        )
+        self.daemons_by_index[index] = daemon
+        await kernel.start()
+        return daemon
+
+    async def kill_daemon(self, index):
+        """End daemon ``index`` at once."""
+        daemon = self.daemons_by_index.pop(index)
+        await daemon.transport.close()
+        await daemon.kernel.abort()
+
+    async def stop_daemon(self, index):
+        """Stop daemon ``index`` in order."""
+        daemon = self.daemons_by_index.pop(index)
+        await daemon.kernel.stop()
+
+    async def close(self):
+        """End every daemon."""
+        for index in list(self.daemons_by_index):
+            self.daemons_by_index[index].gate.resume()
+            await self.kill_daemon(index)
+
+    def cut_store(self, index):
+        """Cut daemon ``index`` off the platform's store."""
+        self.network.cut_links.add((f"daemon-{index}", PLATFORM_ADDRESS))
+
+    def part(self, indexes):
+        """Cut the links between the daemons of ``indexes`` and all others."""
+        inside = {_peer_address(i) for i in indexes}
+        outside = {_peer_address(i) for i in range(self._daemons)} - inside
+        self.peer_network.cut_links |= {(a, b) for a in inside for b in outside}
+
+    def heal(self):
+        """Mend every link."""
+        self.peer_network.cut_links.clear()
+        self.network.cut_links.clear()
+
+    def _settings(self, index):
+        return Settings(
+            daemon=DaemonSettings(
+                id=f"daemon-{index}",
+                region="r",
+                availability_zone=self.zones[index % len(self.zones)],
+                caller_address="10.0.3.1:1",
+                operator_address="10.0.3.1:2",
+                peer_address=_peer_address(index),
+                balancer_notice=0.5,
+            ),
+            store=StoreSettings(address=PLATFORM_ADDRESS),
+            peers=PeerSettings(
+                seeds=tuple(_peer_address(i) for i in range(min(3, self._daemons))),
+                fleet_key=FLEET_KEY,
+            ),
+        )
+
+
+def _peer_address(index):
+    return f"10.1.{index // 250}.{index % 250}:9"
+
+
+def _session_pair(one, other, network):
+    to_one, to_other = asyncio.Queue(), asyncio.Queue()
+    here = LocalSession(one, other, network, to_one, to_other)
+    there = LocalSession(other, one, network, to_other, to_one)
+    return here, there
