Add suites for actions and model groups

Cause: only racing operators were fuzzed. Change: histories of callers that retry at random daemons, and of VMs that fail, both with the shared faults; the stand-ins note when requests arrive at a group and for how long a VM had been missing.

--- a/fuzz/__main__.py
+++ b/fuzz/__main__.py
@@ -9,10 +9,12 @@
 
 def main():
     """Run the suites that the arguments name and return the exit code."""
-    from fuzz import _tickets
+    from fuzz import _actions, _groups, _tickets
     from fuzz._driver import run_suite
 
-    suites = {suite.name: suite for suite in (_tickets.SUITE,)}
+    suites = {
+        suite.name: suite for suite in (_tickets.SUITE, _actions.SUITE, _groups.SUITE)
+    }
     parser = argparse.ArgumentParser(prog="python -m fuzz")
     parser.add_argument("name", choices=[*suites, "all"])
     parser.add_argument("--seed", type=int, default=1)
--- /dev/null
+++ b/fuzz/_actions.py
@@ -0,0 +1,207 @@
+"""Callers that retry at random daemons, judged by the plain service's own record."""
+
+import asyncio
+import hashlib
+import json
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+
+from fuzz._driver import MAX_STEPS, Suite
+from fuzz._faults import apply_fault, faults, mend_everything
+from pimentogap.actions import ActionCall, NotReplied, Replied
+from pimentogap.tickets import parse_ticket
+from pimentogap.types import Refusal, RefusalCode, RunState
+from standins.local_fleet import LocalFleet
+
+DAEMONS = 4
+SETTLE_S = 30.0
+KEYS = ("k-0", "k-1", "k-2", "k-3", "k-4")
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A caller asks one daemon to run an action."""
+
+    daemon: int
+    key: str
+    body: str
+    patience_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSlow:
+    """The plain service takes this long before it acts."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoses:
+    """The plain service loses some answers after it acted."""
+
+    answers: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRefuses:
+    """The plain service says of some requests that it did not run them."""
+
+    requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerDown:
+    """One server of the plain service accepts connections no more, or does again."""
+
+    server: int
+    down: bool
+
+
+class Told:
+    """What one caller asked and was told."""
+
+    __slots__ = ("call", "outcome", "runs_before")
+
+    def __init__(self, call, outcome, runs_before):
+        self.call = call
+        self.outcome = outcome
+        self.runs_before = runs_before
+
+
+def setup_ticket(status_path=""):
+    """Return the ticket that creates the plain service and its workspace."""
+    backends = [
+        {"vm": f"p-{i}", "address": f"10.0.2.1:{i + 1}", "availability_zone": "z-a"}
+        for i in range(2)
+    ]
+    return parse_ticket(
+        {
+            "submission": "setup",
+            "against": 0,
+            "author": "operator",
+            "put": [
+                {
+                    "kind": "plain_service",
+                    "name": "book",
+                    "timeout": "2s",
+                    "status_path": status_path,
+                    "backends": backends,
+                },
+                {"kind": "workspace", "name": "w", "services": ["book"]},
+            ],
+        }
+    )
+
+
+async def check(history):
+    """Run one history, then compare what callers were told with what ran."""
+    fleet = LocalFleet(daemons=DAEMONS, vms_per_domain=0)
+    await fleet.start()
+    await asyncio.sleep(3)
+    daemon = fleet.daemons_by_index[0]
+    await daemon.get("configuration").submit(setup_ticket())
+    await asyncio.sleep(1)
+    told, calls = [], []
+    for step in history:
+        match step:
+            case Call() if step.daemon in fleet.daemons_by_index:
+                calls.append(asyncio.ensure_future(_call(fleet, step, told)))
+            case ServiceSlow(seconds):
+                for server in fleet.plain_servers:
+                    server.slow_s = seconds
+            case ServiceLoses(answers):
+                fleet.book.lose_answers = answers
+            case ServiceRefuses(requests):
+                fleet.book.refuse_next = requests
+            case ServerDown(server, down):
+                address = f"10.0.2.1:{server + 1}"
+                handlers = fleet.network.handlers_by_address
+                handlers.pop(address, None)
+                if not down:
+                    handlers[address] = fleet.plain_servers[server]
+            case _:
+                await apply_fault(fleet, step)
+        await asyncio.sleep(0.02)
+    await mend_everything(fleet, DAEMONS)
+    await asyncio.sleep(SETTLE_S)
+    for call in calls:
+        if call.done() and not call.cancelled():
+            call.result()
+        call.cancel()
+    _judge(fleet.book, told)
+    await fleet.close()
+
+
+async def _call(fleet, step, told):
+    daemon = fleet.daemons_by_index[step.daemon]
+    await daemon.gate.passed()
+    body = json.dumps(step.body)
+    digest = hashlib.sha256(body.encode()).hexdigest()
+    call = ActionCall(
+        workspace="w",
+        service="book",
+        key=step.key,
+        path="/actions/confirm",
+        method="POST",
+        content_type="application/json",
+        body=body,
+        body_digest=digest,
+        deadline_in_s=step.patience_s,
+    )
+    runs_before = len(fleet.book.runs)
+    outcome = await daemon.get("actions").run(call)
+    told.append(Told(call, outcome, runs_before))
+
+
+def _judge(book, told):
+    """Check: nothing doubled, no false "not run", no answer to another request."""
+    runs_by_key = {}
+    for run in book.runs:
+        runs_by_key.setdefault(run.key, []).append(run)
+    for key, runs in runs_by_key.items():
+        assert len(runs) == 1, f"{key} ran {len(runs)} times"
+    outcomes_by_request = {}
+    for entry in told:
+        request = (entry.call.key, entry.call.body_digest)
+        outcomes_by_request.setdefault(request, []).append(entry.outcome)
+        _check_answer(entry, runs_by_key)
+    for (key, digest), outcomes in outcomes_by_request.items():
+        ran = any(run.body_digest == digest for run in runs_by_key.get(key, []))
+        if all(_is_not_run(outcome) for outcome in outcomes):
+            assert not ran, f"{key} was called not run and ran"
+
+
+def _check_answer(entry, runs_by_key):
+    match entry.outcome:
+        case Replied(answer, _):
+            body = json.loads(answer.body)
+            assert body["key"] == entry.call.key
+            assert body["request"] == entry.call.body_digest
+            assert runs_by_key[entry.call.key][0].body_digest == entry.call.body_digest
+        case NotReplied(Refusal(RefusalCode.KEY_REUSED, run_state, _, _)):
+            assert run_state is RunState.NOT_RUN
+
+
+def _is_not_run(outcome):
+    match outcome:
+        case NotReplied(Refusal(_, RunState.NOT_RUN, _, _)):
+            return True
+    return False
+
+
+CALLS = st.builds(
+    Call,
+    daemon=st.integers(0, DAEMONS - 1),
+    key=st.sampled_from(KEYS),
+    body=st.sampled_from(["a", "a", "a", "b"]),
+    patience_s=st.sampled_from([0.1, 1.0, 5.0]),
+)
+SERVICE_FAULTS = st.one_of(
+    st.builds(ServiceSlow, st.sampled_from([0.0, 0.3, 3.0])),
+    st.builds(ServiceLoses, st.sampled_from([0, 1, 3])),
+    st.builds(ServiceRefuses, st.sampled_from([0, 1, 4])),
+    st.builds(ServerDown, st.integers(0, 1), st.booleans()),
+)
+STEPS = st.one_of(CALLS, CALLS, CALLS, SERVICE_FAULTS, faults(DAEMONS), faults(DAEMONS))
+SUITE = Suite("actions", st.lists(STEPS, min_size=4, max_size=MAX_STEPS), check)
--- a/standins/_engines.py
+++ b/standins/_engines.py
@@ -50,7 +50,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A stand-in's own record of one request that it began or finished."""
+    """A stand-in's own record of one request that arrived, began or finished.
+
+    ``missing_s`` is how long the VM that was lost first had been missing.
+    """
 
     at_s: float
     event: str
@@ -59,6 +62,7 @@
     generation: int
     digest: str
     missing_vms: tuple
+    missing_s: float
 
 
 class EngineFleet:
@@ -71,6 +75,7 @@
         "timing",
         "on_change",
         "double_holdings",
+        "_down_since_by_vm",
     )
 
     def __init__(self, *, timing=None, weight_store=None):
@@ -80,6 +85,7 @@
         self.weight_store = weight_store or WeightStore(20e9)
         self.on_change = lambda vms: None
         self.double_holdings = []
+        self._down_since_by_vm = {}
 
     def add(self, vm, *, checks_fencing_number=True):
         """Add the engine of ``vm``, up and idle."""
@@ -97,6 +103,7 @@
         """End a VM at once; whatever group it was in dies with it."""
         engine = self.engines_by_vm[vm_id]
         engine.up = False
+        self._down_since_by_vm[vm_id] = asyncio.get_running_loop().time()
         engine.reset()
         self.publish()
 
@@ -116,6 +123,13 @@
         engine.vm = _changed(engine.vm, state=VmState.LEAVING)
         self.publish()
 
+    def missing_s(self, missing_vms):
+        """Return how long the VM that was lost first has been missing."""
+        now = asyncio.get_running_loop().time()
+        return max(
+            (now - self._down_since_by_vm[vm] for vm in missing_vms), default=0.0
+        )
+
     def missing(self, members):
         """Return the members that are not up in the incarnation named."""
         return tuple(
@@ -277,6 +291,9 @@
         wanted = headers.get("x-generation")
         group = self.holding["group"] if self.holding else ""
         generation = self.holding["generation"] if self.holding else 0
+        if self.holding:
+            request_id = headers.get("x-request-id", "")
+            self._note("arrive", request_id, self.holding["members"])
         if not self._complete_group() or wanted not in (None, f"{group}/{generation}"):
             await self._answer(reply, 409, {"reason": "not serving this generation"})
             return
@@ -367,6 +384,7 @@
         now = asyncio.get_running_loop().time()
         holding = self.holding or {"group": "", "generation": 0}
         missing = self.fleet.missing(members)
+        missing_s = self.fleet.missing_s(missing)
         self.fleet.record.append(
             Served(
                 now,
@@ -376,6 +394,7 @@
                 holding["generation"],
                 digest,
                 missing,
+                missing_s,
             )
         )
 
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -83,7 +83,8 @@
                         for s in self._fleet.record
                     ],
                     "served_while_incomplete": sum(
-                        bool(s.missing_vms) for s in self._fleet.record
+                        bool(s.missing_vms) and s.event != "arrive"
+                        for s in self._fleet.record
                     ),
                     "double_holdings": len(self._fleet.double_holdings),
                     "runs": {
