Draw the steps of histories by shares

Cause: histories held about one call each, so that mutations went unnoticed. Change: 20 to 40 steps, each drawn by its share; callers ask several daemons.

--- a/fuzz/_actions.py
+++ b/fuzz/_actions.py
@@ -7,7 +7,7 @@
 
 from hypothesis import strategies as st
 
-from fuzz._driver import MAX_STEPS, Suite
+from fuzz._driver import Suite, mixed
 from fuzz._faults import apply_fault, faults, mend_everything
 from pimentogap.actions import ActionCall, NotReplied, Replied
 from pimentogap.tickets import parse_ticket
@@ -16,14 +16,14 @@
 
 DAEMONS = 4
 SETTLE_S = 30.0
-KEYS = ("k-0", "k-1", "k-2", "k-3", "k-4")
+KEYS = tuple(f"k-{number}" for number in range(12))
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A caller asks one daemon to run an action."""
+    """A caller asks daemons, one or several at once, to run an action."""
 
-    daemon: int
+    daemons: tuple
     key: str
     body: str
     patience_s: float
@@ -105,8 +105,11 @@
     told, calls = [], []
     for step in history:
         match step:
-            case Call() if step.daemon in fleet.daemons_by_index:
-                calls.append(asyncio.ensure_future(_call(fleet, step, told)))
+            case Call():
+                for index in step.daemons:
+                    if index in fleet.daemons_by_index:
+                        call = _call(fleet, index, step, told)
+                        calls.append(asyncio.ensure_future(call))
             case ServiceSlow(seconds):
                 for server in fleet.plain_servers:
                     server.slow_s = seconds
@@ -133,8 +136,8 @@
     await fleet.close()
 
 
-async def _call(fleet, step, told):
-    daemon = fleet.daemons_by_index[step.daemon]
+async def _call(fleet, index, step, told):
+    daemon = fleet.daemons_by_index[index]
     await daemon.gate.passed()
     body = json.dumps(step.body)
     digest = hashlib.sha256(body.encode()).hexdigest()
@@ -192,7 +195,9 @@
 
 CALLS = st.builds(
     Call,
-    daemon=st.integers(0, DAEMONS - 1),
+    daemons=st.sets(st.integers(0, DAEMONS - 1), min_size=1, max_size=3).map(
+        lambda chosen: tuple(sorted(chosen))
+    ),
     key=st.sampled_from(KEYS),
     body=st.sampled_from(["a", "a", "a", "b"]),
     patience_s=st.sampled_from([0.1, 1.0, 5.0]),
@@ -203,5 +208,5 @@
     st.builds(ServiceRefuses, st.sampled_from([0, 1, 4])),
     st.builds(ServerDown, st.integers(0, 1), st.booleans()),
 )
-STEPS = st.one_of(CALLS, CALLS, CALLS, SERVICE_FAULTS, faults(DAEMONS), faults(DAEMONS))
-SUITE = Suite("actions", st.lists(STEPS, min_size=4, max_size=MAX_STEPS), check)
+STEPS = mixed([(CALLS, 24), (SERVICE_FAULTS, 5), *faults(DAEMONS)])
+SUITE = Suite("actions", STEPS, check)
--- a/fuzz/_driver.py
+++ b/fuzz/_driver.py
@@ -5,11 +5,29 @@
 import traceback
 
 import logbook
-from hypothesis import HealthCheck, Phase, given, seed as with_seed, settings
+from hypothesis import (
+    HealthCheck,
+    Phase,
+    given,
+    seed as with_seed,
+    settings,
+    strategies as st,
+)
 
 from standins.paused import run_paused
 
-MAX_STEPS = 24
+MIN_STEPS = 20
+MAX_STEPS = 40
+
+
+def mixed(shares_by_strategy):
+    """Return a strategy of whole histories, each step drawn by its share.
+
+    :param shares_by_strategy: pairs of a strategy and a whole number.
+    """
+    drawn = [strategy for strategy, share in shares_by_strategy for _ in range(share)]
+    step = st.sampled_from(drawn).flatmap(lambda strategy: strategy)
+    return st.lists(step, min_size=MIN_STEPS, max_size=MAX_STEPS)
 
 
 class Suite:
--- a/fuzz/_faults.py
+++ b/fuzz/_faults.py
@@ -90,24 +90,24 @@
 
 
 def faults(daemons):
-    """Return the strategy of one fault in a fleet of ``daemons``."""
+    """Return strategies of faults in a fleet of ``daemons``, with their shares."""
     one = st.integers(0, daemons - 1)
     some = st.sets(one, min_size=1, max_size=daemons - 1)
-    return st.one_of(
-        st.builds(Wait, st.sampled_from([0.05, 0.5, 2.0, 6.0])),
-        st.builds(StoreDown),
-        st.builds(StoreUp),
-        st.builds(LoseAnswers, st.sampled_from([0.0, 0.3, 0.7])),
-        st.builds(CompactWatch),
-        st.builds(CutStore, one),
-        st.builds(Part, some.map(lambda chosen: tuple(sorted(chosen)))),
-        st.builds(Heal),
-        st.builds(Pause, one),
-        st.builds(Resume, one),
-        st.builds(Kill, one),
-        st.builds(Start, one),
-        st.builds(Replace, one),
-    )
+    return [
+        (st.builds(Wait, st.sampled_from([0.05, 0.5, 2.0, 6.0])), 6),
+        (st.builds(StoreDown), 1),
+        (st.builds(StoreUp), 2),
+        (st.builds(LoseAnswers, st.sampled_from([0.0, 0.3, 0.7])), 1),
+        (st.builds(CompactWatch), 1),
+        (st.builds(CutStore, one), 1),
+        (st.builds(Part, some.map(lambda chosen: tuple(sorted(chosen)))), 1),
+        (st.builds(Heal), 2),
+        (st.builds(Pause, one), 2),
+        (st.builds(Resume, one), 3),
+        (st.builds(Kill, one), 2),
+        (st.builds(Start, one), 4),
+        (st.builds(Replace, one), 1),
+    ]
 
 
 async def apply_fault(fleet, fault):
--- a/fuzz/_groups.py
+++ b/fuzz/_groups.py
@@ -5,7 +5,7 @@
 
 from hypothesis import strategies as st
 
-from fuzz._driver import MAX_STEPS, Suite
+from fuzz._driver import Suite, mixed
 from fuzz._faults import apply_fault, faults, mend_everything
 from pimentogap.streams import Broken, CompletionRequest, Finished
 from pimentogap.tickets import parse_ticket
@@ -257,5 +257,5 @@
     prompt=st.integers(0, 5),
     tokens=st.sampled_from([1, 8, 60]),
 )
-STEPS = st.one_of(VM_FAULTS, VM_FAULTS, ASKS, ASKS, faults(DAEMONS))
-SUITE = Suite("groups", st.lists(STEPS, min_size=4, max_size=MAX_STEPS), check)
+STEPS = mixed([(ASKS, 16), (VM_FAULTS, 12), *faults(DAEMONS)])
+SUITE = Suite("groups", STEPS, check)
--- a/fuzz/_tickets.py
+++ b/fuzz/_tickets.py
@@ -5,7 +5,7 @@
 
 from hypothesis import strategies as st
 
-from fuzz._driver import MAX_STEPS, Suite
+from fuzz._driver import Suite, mixed
 from fuzz._faults import apply_fault, faults, mend_everything
 from pimentogap.tickets import (
     Accepted,
@@ -191,5 +191,5 @@
     behind=st.sampled_from([0, 0, 0, 1, 3]),
     again=st.sampled_from([False, False, False, True]),
 )
-STEPS = st.one_of(SUBMISSIONS, SUBMISSIONS, faults(DAEMONS), faults(DAEMONS))
-SUITE = Suite("tickets", st.lists(STEPS, min_size=4, max_size=MAX_STEPS), check)
+STEPS = mixed([(SUBMISSIONS, 12), *faults(DAEMONS)])
+SUITE = Suite("tickets", STEPS, check)
