--- a/standins/_engines.py
+++ b/standins/_engines.py
@@ -110,6 +110,8 @@
     def restart(self, vm_id):
         """Bring a VM back, idle, as a new incarnation."""
         engine = self.engines_by_vm[vm_id]
+        if engine.up:
+            self._down_since_by_vm[vm_id] = asyncio.get_running_loop().time()
         engine.vm = _changed(
             engine.vm, incarnation=engine.vm.incarnation + 1, state=VmState.LIVE
         )
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -57,6 +57,8 @@
         "_compacted_before",
         "_changed",
         "_vms",
+        "_vms_newest",
+        "_vms_shown",
         "_random",
         "_recent_calls",
     )
@@ -72,20 +74,25 @@
         self._compacted_before = 0
         self._changed = asyncio.Event()
         self._vms = ()
+        self._vms_newest = 0
+        self._vms_shown = 0
         self._random = random.Random(seed)
         self._recent_calls = deque()
 
     def set_vms(self, vms):
         """Show ``vms`` in the list, after its lag."""
         snapshot = tuple(vms)
+        self._vms_newest += 1
         if self.vm_lag_s <= 0:
-            self._vms = snapshot
+            self._show_vms(self._vms_newest, snapshot)
             return
         loop = asyncio.get_running_loop()
-        loop.call_later(self.vm_lag_s, self._show_vms, snapshot)
+        loop.call_later(self.vm_lag_s, self._show_vms, self._vms_newest, snapshot)
 
-    def _show_vms(self, vms):
-        self._vms = vms
+    def _show_vms(self, number, vms):
+        if number > self._vms_shown:
+            self._vms_shown = number
+            self._vms = vms
 
     def compact(self):
         """Forget the watch history up to now."""
