--- a/fuzz/__init__.py
+++ b/fuzz/__init__.py
@@ -1,1 +1,9 @@
 """Stateful fuzzing: random histories with faults, judged by simple oracles."""
+
+from fuzz import _actions, _groups, _tickets
+
+SUITES_BY_NAME = {
+    suite.name: suite for suite in (_tickets.SUITE, _actions.SUITE, _groups.SUITE)
+}
+
+__all__ = ["SUITES_BY_NAME"]
--- a/fuzz/__main__.py
+++ b/fuzz/__main__.py
@@ -9,19 +9,17 @@
 
 def main():
     """Run the suites that the arguments name and return the exit code."""
-    from fuzz import _actions, _groups, _tickets
+    from fuzz import SUITES_BY_NAME
     from fuzz._driver import run_suite
 
-    suites = {
-        suite.name: suite for suite in (_tickets.SUITE, _actions.SUITE, _groups.SUITE)
-    }
     parser = argparse.ArgumentParser(prog="python -m fuzz")
-    parser.add_argument("name", choices=[*suites, "all"])
+    parser.add_argument("name", choices=[*SUITES_BY_NAME, "all"])
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--examples", type=int, default=100)
     parser.add_argument("--shrink", action="store_true")
     options = parser.parse_args()
-    chosen = suites.values() if options.name == "all" else [suites[options.name]]
+    names = SUITES_BY_NAME if options.name == "all" else [options.name]
+    chosen = [SUITES_BY_NAME[name] for name in names]
     passed = [
         run_suite(
             suite,
--- a/standins/_network.py
+++ b/standins/_network.py
@@ -62,10 +62,16 @@
         if handler is None or self._cut(address):
             raise ConnectionFailed(f"no connection to {address}")
         network.requests_sent += 1
+        reply = _LocalReply(receiver, self._cut, address)
+        task = asyncio.ensure_future(handler.handle(request, reply))
         try:
-            await handler.handle(request, _LocalReply(receiver, self._cut, address))
+            await asyncio.shield(task)
         except AbandonConnection:
             raise ResponseLost(f"{address} closed the connection")
+        finally:
+            # A server goes on when its client leaves, until it next writes.
+            reply.closed = True
+            task.add_done_callback(_take_result)
 
     def close(self):
         """Do nothing; nothing is kept."""
@@ -74,21 +80,27 @@
         return (self._source, address) in self._network.cut_links
 
 
+def _take_result(task):
+    if not task.cancelled():
+        task.exception()
+
+
 class _LocalReply:
-    __slots__ = ("_receiver", "_cut", "_address")
+    __slots__ = ("closed", "_receiver", "_cut", "_address")
 
     def __init__(self, receiver, cut, address):
+        self.closed = False
         self._receiver = receiver
         self._cut = cut
         self._address = address
 
     def start(self, status, headers):
-        if self._cut(self._address):
+        if self.closed or self._cut(self._address):
             raise AbandonConnection
         self._receiver.headers_received(status, HTTPHeaders(headers))
 
     async def data(self, chunk):
-        if self._cut(self._address):
+        if self.closed or self._cut(self._address):
             raise AbandonConnection
         result = self._receiver.data_received(chunk)
         if result is not None:
