Prove the whole path in separate processes, and refusals of bad input

Cause: the paused scenarios use no sockets. Change: scenarios on real processes (ticket to answer, eleven kinds of bad input, a caller that leaves, an ordered stop with a stream open, a stranger at the peers' address, settings with many mistakes) and on engines that close early, send garbage, repeat a token or fall silent. A stranger is refused, but may see the reset of the stream before the status that says why; the daemon logs it.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -181,6 +181,13 @@
             when_vm_killed(context, vm_id)
 
 
+@when("every engine of fabric domain {domain} {misbehaves}")
+def when_misbehaves(context, domain, misbehaves):
+    for engine in context.paused.fleet.engines.engines_by_vm.values():
+        if engine.vm.fabric_domain == domain:
+            engine.misbehaviour = misbehaves
+
+
 @then("{count:d} groups may be used by every daemon")
 def then_all_groups(context, count):
     now = context.paused.runner.get_loop().time()
--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,449 @@
+"""Steps on a deployment of separate processes."""
+
+import ast
+import asyncio
+import contextlib
+import http.client
+import io
+import json
+import tempfile
+import urllib.error
+import urllib.request
+from pathlib import Path
+
+import yaml
+from behave import then, when
+
+from pimentogap.errors import PeerRefused, PeerUnreachable
+from pimentogap.peers import GrpcTransport
+from pimentogap.programs import run_ctl, run_daemon, run_report
+from standins._tokens import answer
+from standins.deployment import get_json, wait_until
+
+WAIT_S = 30.0
+WORKSPACE = "tournees"
+PACKAGE = Path("pimentogap")
+IO_LIBRARIES = {"tornado", "grpclib", "yaml", "google"}
+DECIDING_MODULES = (
+    "tickets",
+    "groups",
+    "routing/_policy.py",
+    "routing/_replicas.py",
+    "routing/_subset.py",
+    "routing/_service.py",
+    "limits",
+    "streams",
+    "actions",
+    "lookups",
+    "access",
+    "fleet",
+    "types",
+    "kernel",
+    "traces",
+    "peers/_membership.py",
+    "peers/_service.py",
+    "peers/_entries.py",
+)
+BAD_SETTINGS = """\
+daemon:
+  id: d1
+  availability_zon: z-a
+  caller_address: entry.example:8080
+  region: r
+  operator_address: 127.0.0.1:8181
+store: {address: "127.0.0.1:7000",
+  timeout: 5}
+peers:
+  fleet_key: short
+"""
+
+
+@when("the operator submits {file}.yaml")
+def when_submits(context, file):
+    path = copied_for_ports(context, f"{file}.yaml")
+    context.ctl = ctl(context, "submit", path)
+
+
+@when("the operator submits an outdated ticket")
+def when_submits_outdated(context):
+    ticket = {
+        "submission": "outdated",
+        "against": 0,
+        "author": "maelle",
+        "put": [{"kind": "workspace", "name": WORKSPACE, "requests_per_s": 1.0}],
+    }
+    path = context.deployment.folder / "outdated.yaml"
+    path.write_text(yaml.safe_dump(ticket), encoding="utf-8")
+    context.ctl = ctl(context, "submit", str(path))
+
+
+@then("the operators' client exits with {code:d}")
+def then_ctl_exits(context, code):
+    assert context.ctl[0] == code, context.ctl
+
+
+@then("its output says {text}")
+def then_ctl_says(context, text):
+    assert text in context.ctl[1], context.ctl
+
+
+@then("every daemon serves {service}")
+def then_served(context, service):
+    layout = context.deployment.layout
+
+    def served():
+        for index in range(layout.daemons):
+            status = get_json(layout.operator_address(index), "/status")
+            groups = [g for g in status["groups"] if g["permitted_here"]]
+            if len(groups) < 2 or status["freshness"]["state"] != "current":
+                return False
+        return True
+
+    wait_until(served, WAIT_S)
+
+
+@when("a caller streams {tokens:d} tokens from {model} at daemon {index:d}")
+def when_streams(context, tokens, model, index):
+    begin_stream(context, tokens, model, index)
+    read_stream(context)
+
+
+@when("a caller begins to stream {tokens:d} tokens from {model} at daemon {index:d}")
+def when_begins_stream(context, tokens, model, index):
+    begin_stream(context, tokens, model, index)
+
+
+@when("a caller asks {model} for {tokens:d} tokens at daemon {index:d}, not streamed")
+def when_asks_whole(context, tokens, model, index):
+    body = {"model": model, "prompt": "whole", "max_tokens": tokens}
+    response = send(context, index, "POST", "/v1/completions", body)
+    context.daemon_index = index
+    context.request_id = response.headers["Request-Id"]
+    context.received = json.loads(response.body)["choices"][0]["text"]
+    context.expected = answer("whole", tokens)
+
+
+@then("the answer is whole")
+def then_whole(context):
+    assert context.received == context.expected, (context.received, context.expected)
+
+
+@then("the answer that was begun is whole")
+def then_begun_whole(context):
+    read_stream(context)
+    assert context.received == context.expected
+
+
+@then("the trace of the request says which replica was chosen")
+def then_traced(context):
+    address = context.deployment.layout.operator_address(context.daemon_index)
+    trace = get_json(address, f"/explain/request/{context.request_id}")
+    assert any(note["what"].startswith("chose ") for note in trace["notes"]), trace
+
+
+@when("booking {key} is confirmed at daemon {index:d}")
+def when_booked(context, key, index):
+    headers = {"Idempotency-Key": key}
+    path = "/services/reservations/actions/confirm"
+    response = send(context, index, "POST", path, {"slot": 8}, headers=headers)
+    assert response.status == 200, response.body
+
+
+@then("the service ran booking {key} once")
+def then_booked_once(context, key):
+    runs = context.deployment.control("/record")["runs"]["reservations"]
+    assert [run[0] for run in runs].count(key) == 1, runs
+
+
+@then("a lookup of {name} at daemon {index:d} answers {status:d}")
+def then_lookup(context, name, index, status):
+    response = send(context, index, "GET", f"/services/reservations/{name}", None)
+    assert response.status == status, response.body
+
+
+@when("a caller sends {request}")
+def when_sends(context, request):
+    good = {"model": "redacteur", "prompt": "p", "max_tokens": 2}
+    path, headers, workspace, chunked = "/v1/completions", {}, WORKSPACE, False
+    body = good
+    match request:
+        case "a body that is not JSON":
+            body = b"{not json"
+        case "a body over the limit":
+            body = {**good, "prompt": "x" * 2_000_000}
+        case "a chunked body over the limit":
+            body, chunked = {**good, "prompt": "x" * 2_000_000}, True
+        case "headers over the limit":
+            headers = {"X-Long": "x" * 30_000}
+        case "an unknown model":
+            body = {**good, "model": "nobody"}
+        case "an unknown workspace":
+            workspace = "nobody"
+        case "an unknown service":
+            path = "/services/nobody/slots"
+        case "an unknown path":
+            path = "/nowhere"
+        case "no prompt":
+            body = {"model": "redacteur"}
+        case "a deadline that is no number":
+            headers = {"Request-Timeout-Ms": "soon"}
+        case "an idempotency key with blanks":
+            path, headers = (
+                "/services/reservations/actions/x",
+                {"Idempotency-Key": "a b"},
+            )
+        case _:
+            raise AssertionError(request)
+    context.response = send(
+        context,
+        0,
+        "POST",
+        path,
+        body,
+        headers=headers,
+        workspace=workspace,
+        chunked=chunked,
+    )
+
+
+@then("the answer is {status:d} with code {code}, and says {state}")
+def then_refused(context, status, code, state):
+    response = context.response
+    assert response.status == status, (response.status, response.body)
+    problem = json.loads(response.body)
+    assert (problem["code"], problem["run_state"]) == (code, state), problem
+    assert response.headers["Run-State"] == state
+
+
+@then("an engine runs 1 request")
+def then_engine_runs(context):
+    wait_until(lambda: running_requests(context) == 1, WAIT_S)
+
+
+@then("no engine runs a request")
+def then_no_engine_runs(context):
+    wait_until(lambda: running_requests(context) == 0, WAIT_S)
+
+
+@when("the caller leaves")
+def when_caller_leaves(context):
+    context.connection.close()
+    context.stream.close()
+
+
+@when("daemon {index:d} is told to stop")
+def when_told_to_stop(context, index):
+    context.stopping = context.deployment.processes_by_name[f"daemon-{index}"]
+    context.stopping.terminate()
+
+
+@then("daemon {index:d} exits with {code:d}")
+def then_daemon_exits(context, index, code):
+    assert context.stopping.wait(WAIT_S) == code
+    del context.deployment.processes_by_name[f"daemon-{index}"]
+
+
+@when("daemon {index:d} is started again")
+def when_daemon_again(context, index):
+    context.deployment.start_daemon(index)
+
+
+@when("a stranger opens a session with daemon {index:d}")
+def when_stranger(context, index):
+    address = context.deployment.layout.peer_address(index)
+
+    async def open_session():
+        transport = GrpcTransport("stranger", "not-the-key-of-the-fleet")
+        async with transport.open_session(address) as session:
+            await session.receive()
+
+    try:
+        asyncio.run(open_session())
+        context.refused = False
+    except (PeerRefused, PeerUnreachable):
+        context.refused = True
+
+
+@then("the stranger is refused")
+def then_stranger_refused(context):
+    assert context.refused
+
+
+@when("the daemon checks settings with many mistakes")
+def when_checks(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "bad.yaml"
+        path.write_text(BAD_SETTINGS, encoding="utf-8")
+        output = io.StringIO()
+        with contextlib.redirect_stderr(output):
+            context.code = run_daemon(["--settings", str(path), "--check"])
+        context.reported = output.getvalue().splitlines()
+
+
+@then("it exits with {code:d}")
+def then_exits(context, code):
+    assert context.code == code
+
+
+@then("it reports line {line:d} of {path} as unknown, with a hint")
+def then_reports_unknown(context, line, path):
+    expected = f"line {line}: {path}: unknown key; expected 'availability_zone'"
+    assert any(expected in text for text in context.reported), context.reported
+
+
+@then("it reports {path} as missing")
+def then_reports_missing(context, path):
+    expected = f"{path}: missing"
+    assert any(expected in text for text in context.reported), context.reported
+
+
+@then("it reports line {line:d} of {path}")
+def then_reports(context, line, path):
+    expected = f"line {line}: {path}: found"
+    assert any(expected in text for text in context.reported), context.reported
+
+
+@then("the modules that decide import neither tornado, grpclib nor yaml")
+def then_no_io(context):
+    checked = 0
+    for place in DECIDING_MODULES:
+        path = PACKAGE / place
+        for file in [path] if path.is_file() else sorted(path.glob("*.py")):
+            checked += 1
+            found = imported(file) & IO_LIBRARIES
+            assert not found, (file, found)
+    assert checked > 40, checked
+
+
+@then("--help of daemon, ctl and report shows examples and exit codes")
+def then_help(context):
+    for run in (run_daemon, run_ctl, run_report):
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.suppress(SystemExit):
+            run(["--help"])
+        assert "examples:" in output.getvalue() and "exit codes:" in output.getvalue()
+
+
+class Response:
+    """A response that was read whole."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+def send(
+    context,
+    index,
+    method,
+    path,
+    body,
+    *,
+    headers=None,
+    workspace=WORKSPACE,
+    chunked=False,
+):
+    """Send one request to a daemon and return the `Response`."""
+    data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+    host, _, port = context.deployment.layout.caller_address(index).rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+    payload = iter([data[:1000], data[1000:]]) if chunked else data
+    with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+        connection.request(
+            method,
+            path,
+            payload,
+            {"Workspace": workspace, **(headers or {})},
+            encode_chunked=chunked,
+        )
+    response = connection.getresponse()
+    read = Response(response.status, response.headers, response.read())
+    connection.close()
+    return read
+
+
+def begin_stream(context, tokens, model, index):
+    """Begin to read a streamed answer."""
+    prompt = f"stream of {tokens}"
+    body = {"model": model, "prompt": prompt, "max_tokens": tokens, "stream": True}
+    host, _, port = context.deployment.layout.caller_address(index).rpartition(":")
+    context.connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+    context.connection.request(
+        "POST", "/v1/completions", json.dumps(body), {"Workspace": WORKSPACE}
+    )
+    context.stream = context.connection.getresponse()
+    assert context.stream.status == 200, context.stream.read()
+    context.stream.readline()
+    context.received = ""
+    context.expected = answer(prompt, tokens)
+    context.received += piece_of(context.stream.readline())
+
+
+def read_stream(context):
+    """Read the rest of a streamed answer."""
+    done = False
+    for line in context.stream:
+        done = done or line.strip() == b"data: [DONE]"
+        context.received += piece_of(line)
+    assert done, "the stream ended early"
+
+
+def piece_of(line):
+    """Return the text in one line of a stream."""
+    data = line.decode().strip().removeprefix("data: ")
+    return json.loads(data)["choices"][0]["text"] if data.startswith("{") else ""
+
+
+def ctl(context, *arguments):
+    """Run the operators' client and return its exit code and output."""
+    output = io.StringIO()
+    address = context.deployment.layout.operator_address(0)
+    with contextlib.redirect_stdout(output):
+        code = run_ctl(["--daemon", address, *arguments])
+    return code, output.getvalue()
+
+
+def copied_for_ports(context, file):
+    """Return a copy of a sample ticket with the ports of this deployment."""
+    text = Path(file).read_text(encoding="utf-8")
+    first_port = context.deployment.layout.first_port
+    text = text.replace("127.0.0.1:210", f"127.0.0.1:{first_port // 100}")
+    path = context.deployment.folder / "ticket.yaml"
+    path.write_text(text, encoding="utf-8")
+    return str(path)
+
+
+def running_requests(context):
+    """Return how many requests the engines run."""
+    layout = context.deployment.layout
+    status = get_json(layout.operator_address(0), "/status")
+    total = 0
+    for group in status["groups"]:
+        index = vm_index(layout, group["vms"][0])
+        address = f"{layout.host}:{layout.first_port + 100 + index}"
+        with contextlib.suppress(urllib.error.URLError):
+            total += get_json(address, "/v1/holding")["running"]
+    return total
+
+
+def vm_index(layout, vm_id):
+    """Return the position of a VM among all VMs of the layout."""
+    zone, _, rest = vm_id.rpartition("-f")
+    domain, _, index = rest.partition("-")
+    position = layout.availability_zones.index(zone) * layout.domains_per_zone
+    return (position + int(domain)) * layout.vms_per_domain + int(index)
+
+
+def imported(file):
+    """Return the names of the top-level packages that a file imports."""
+    names = set()
+    for node in ast.walk(ast.parse(file.read_text(encoding="utf-8"))):
+        match node:
+            case ast.Import(aliases):
+                names |= {alias.name.partition(".")[0] for alias in aliases}
+            case ast.ImportFrom(module=str(module)):
+                names.add(module.partition(".")[0])
+    return names
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -16,9 +16,9 @@
 REQUEST_INTERVAL_S = 0.1
 
 
-async def ask(context, daemon, prompt, tokens):
+async def ask(context, daemon, prompt, tokens, entry=None):
     """Ask for a completion; the result is kept in the scenario's notes."""
-    entry = Asked(prompt, tokens)
+    entry = entry or Asked(prompt, tokens)
     context.paused.notes.setdefault("asked", []).append(entry)
     now = asyncio.get_running_loop().time()
     request = CompletionRequest(
@@ -81,6 +81,32 @@
     context.paused.begin(ask, context, daemon, f"a long answer {index}", tokens)
 
 
+class SlowAsked(Asked):
+    """A caller that takes one event a second."""
+
+    __slots__ = ()
+
+    async def events(self, data):
+        """Take in events slowly."""
+        await asyncio.sleep(1.0)
+        await super().events(data)
+
+
+@when(
+    "a caller that takes 1 event a second asks daemon {index:d} for {tokens:d} tokens"
+)
+def when_slow_caller(context, index, tokens):
+    daemon = context.paused.fleet.daemons_by_index[index]
+    entry = SlowAsked("slow", tokens)
+    context.paused.begin(ask, context, daemon, "slow", tokens, entry)
+
+
+@then("the engine has sent at most {limit:d} tokens of it")
+def then_held_back(context, limit):
+    engines = context.paused.fleet.engines.engines_by_vm.values()
+    assert 10 <= sum(engine.events_sent for engine in engines) <= limit
+
+
 @when("the VMs that serve an answer are killed")
 def when_serving_killed(context):
     engines = context.paused.fleet.engines
--- /dev/null
+++ b/features/whole_path/settings.feature
@@ -0,0 +1,16 @@
+Feature: Settings are checked as a whole before anything starts
+
+  Scenario: Every problem is reported at once, with its path and line
+    When the daemon checks settings with many mistakes
+    Then it exits with 2
+    And it reports line 3 of daemon.availability_zon as unknown, with a hint
+    And it reports daemon.availability_zone as missing
+    And it reports line 4 of daemon.caller_address
+    And it reports line 8 of store.timeout
+    And it reports line 10 of peers.fleet_key
+
+  Scenario: Decisions import no HTTP, gRPC or YAML library
+    Then the modules that decide import neither tornado, grpclib nor yaml
+
+  Scenario: Every program explains itself
+    Then --help of daemon, ctl and report shows examples and exit codes
--- a/pimentogap/peers/_grpc.py
+++ b/pimentogap/peers/_grpc.py
@@ -10,12 +10,15 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
+from logbook import Logger
 
 from pimentogap.errors import PeerRefused, PeerUnreachable, ResponseLost
 from pimentogap.peers._encoding import decode_frame, encode_frame
 from pimentogap.peers.proto.peers_grpc import FleetBase, FleetStub
 from pimentogap.peers.proto.peers_pb2 import CallReply, CallRequest
 
+log = Logger("peers.grpc")
+
 CONNECT_TIMEOUT_S = 1.0
 PROOF_HEADER = "fleet-proof"
 SENDER_HEADER = "fleet-sender"
@@ -173,6 +176,8 @@
 
     def _admit(self, stream):
         if not self._transport.admits(stream.metadata):
+            sender = stream.metadata.get(SENDER_HEADER, "")
+            log.warning("{!r} does not prove that it knows the fleet's key", sender)
             raise GRPCError(Status.UNAUTHENTICATED, "not a daemon of this fleet")
 
 
--- a/standins/_engines.py
+++ b/standins/_engines.py
@@ -12,6 +12,7 @@
 
 REPORT_INTERVAL_S = 0.5
 LOAD_STEP_S = 0.05
+SILENCE_S = 3600.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -155,7 +156,8 @@
         "ready",
         "orders_taken",
         "slow_factor",
-        "close_after_tokens",
+        "misbehaviour",
+        "events_sent",
         "_running",
         "_waiting",
         "_blocks",
@@ -171,7 +173,8 @@
         self.checks_fencing_number = checks_fencing_number
         self.orders_taken = []
         self.slow_factor = 1.0
-        self.close_after_tokens = None
+        self.misbehaviour = None
+        self.events_sent = 0
         self._load_task = None
         self.reset()
 
@@ -317,14 +320,28 @@
             )
             for index in range(offset, count):
                 await self._step(members)
+                self.events_sent += 1
                 await reply.data(_event(prompt, index, group))
-                if self.close_after_tokens == index + 1 - offset:
-                    raise AbandonConnection
+                await self._misbehave(reply, prompt, index, group)
             await reply.data(_end_event(count))
         finally:
             self._leave_slot()
         self._note("finish", headers.get("x-request-id", ""), members)
 
+    async def _misbehave(self, reply, prompt, index, group):
+        """Do what an engine must not, after the second token."""
+        if index != 1:
+            return
+        match self.misbehaviour:
+            case "closes after 2 tokens":
+                raise AbandonConnection
+            case "sends garbage":
+                await reply.data(b"id: x\ndata: {\n\n")
+            case "repeats a token":
+                await reply.data(_event(prompt, index, group))
+            case "falls silent":
+                await asyncio.sleep(SILENCE_S)
+
     async def _step(self, members):
         timing = self.fleet.timing
         await asyncio.sleep(timing.step_s * self.slow_factor)
