Believe lost VMs sooner, use cached weights, and measure control and actions

Change: a VM that does not answer is lost at once if a daemon that routes to its group saw the group incomplete; free VMs that hold the weights are taken first; how many groups load at once is set by ticket; two daemons of a region compete for its lease; what follows from the membership is worked out once a change.

--- a/pimentogap/groups/_orders.py
+++ b/pimentogap/groups/_orders.py
@@ -27,7 +27,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Holding:
-    """What one engine says of itself."""
+    """What one engine says of itself.
+
+    ``cached`` names the weights that it need not load again, as MODEL/VERSION.
+    """
 
     vm: str
     incarnation: int
@@ -36,6 +39,7 @@
     loaded: bool
     ready: bool
     running: int
+    cached: tuple
 
 
 class OrderClient:
@@ -101,4 +105,5 @@
         loaded=data["loaded"],
         ready=data["ready"],
         running=data["running"],
+        cached=tuple(data.get("cached", ())),
     )
--- a/pimentogap/groups/_planner.py
+++ b/pimentogap/groups/_planner.py
@@ -10,7 +10,7 @@
 DRAIN_MINIMUM_S = 3.0
 DRAIN_LIMIT_S = 600.0
 QUARANTINE_S = 30.0
-MAX_LOADING_GROUPS = 8
+LOADS_AT_ONCE = 4
 SURPLUS_MARK = "surplus"
 
 
@@ -48,9 +48,11 @@
 class FleetView:
     """What the controller sees of VMs and engines at one moment.
 
-    ``ready`` and ``idle`` hold the keys of generations; ``absent_since_by_vm``,
-    ``quarantined_until_by_vm`` and ``draining_since_by_key`` are in seconds of
-    the runtime's clock, as ``now`` is.
+    ``ready``, ``idle`` and ``doubted`` hold the keys of generations; a daemon that
+    routes to a doubted one has seen it incomplete. ``unreachable_vms`` did not
+    answer the controller. ``cached_by_vm`` names the weights that VMs hold.
+    ``absent_since_by_vm``, ``quarantined_until_by_vm`` and
+    ``draining_since_by_key`` are in seconds of the runtime's clock, as ``now`` is.
     """
 
     __slots__ = (
@@ -62,6 +64,9 @@
         "ready",
         "idle",
         "draining_since_by_key",
+        "doubted",
+        "unreachable_vms",
+        "cached_by_vm",
     )
 
     def __init__(self, *, now, vms_by_id):
@@ -73,6 +78,9 @@
         self.ready = frozenset()
         self.idle = frozenset()
         self.draining_since_by_key = {}
+        self.doubted = frozenset()
+        self.unreachable_vms = frozenset()
+        self.cached_by_vm = {}
 
     def is_leaving(self, vm_id):
         """Return whether a VM is to get no new work."""
@@ -84,15 +92,24 @@
     def is_usable(self, vm):
         """Return whether a VM may join a new generation."""
         quarantined = self.quarantined_until_by_vm.get(vm.id, -math.inf) > self.now
-        return not self.is_leaving(vm.id) and not quarantined
+        reachable = vm.id not in self.unreachable_vms
+        return reachable and not quarantined and not self.is_leaving(vm.id)
 
-    def has_lost(self, member):
-        """Return whether an assigned VM is gone or was restarted."""
+    def has_lost(self, assignment, member):
+        """Return whether an assigned VM is gone or was restarted.
+
+        The list alone is believed after a while, since it lags and flickers. A
+        VM that does not answer is believed lost at once if a daemon that routes
+        to the group has seen it incomplete, too: a controller that is cut off
+        itself ends no group.
+        """
         vm = self.vms_by_id.get(member.id)
-        if vm is not None:
-            return vm.incarnation != member.incarnation
+        if vm is not None and vm.incarnation != member.incarnation:
+            return True
+        if member.id in self.unreachable_vms and assignment.key in self.doubted:
+            return True
         since = self.absent_since_by_vm.get(member.id, self.now)
-        return self.now - since >= ABSENT_CONFIRM_S
+        return vm is None and self.now - since >= ABSENT_CONFIRM_S
 
 
 class Planner:
@@ -106,6 +123,7 @@
         "_kept",
         "_free_by_domain",
         "_loading",
+        "_loads_at_once",
         "_warm_domain_by_group",
         "_generations",
         "decisions",
@@ -125,6 +143,8 @@
         self._kept = []
         self._free_by_domain = {}
         self._loading = 0
+        limit = configuration.get("weight_store", region)
+        self._loads_at_once = limit.loads_at_once if limit else LOADS_AT_ONCE
         self._warm_domain_by_group = {}
         self._generations = {}
         self.decisions = []
@@ -171,7 +191,8 @@
                 self._kept.append(assignment)
 
     def _condition(self, assignment):
-        lost = tuple(m.id for m in assignment.vms if self._view.has_lost(m))
+        has_lost = self._view.has_lost
+        lost = tuple(m.id for m in assignment.vms if has_lost(assignment, m))
         if lost:
             return Broken(lost)
         if assignment.draining:
@@ -282,7 +303,7 @@
         return (not warm, no_spare, left, domain)
 
     def _form(self, group, service, action, seen):
-        if self._loading >= MAX_LOADING_GROUPS:
+        if self._loading >= self._loads_at_once:
             chosen = f"wait: {self._loading} groups are loading weights"
             self._decide(group.name, Action.WAIT, seen, chosen)
             return
@@ -302,6 +323,11 @@
             by_id = {vm.id: vm for vm in free}
             chosen = [by_id[vm_id] for vm_id in pinned]
         else:
+            weights = f"{service.model}/{service.version}"
+            cached_by_vm = self._view.cached_by_vm
+            free = sorted(
+                free, key=lambda vm: weights not in cached_by_vm.get(vm.id, ())
+            )
             chosen = free[: service.vms_per_group]
         ids = {vm.id for vm in chosen}
         self._free_by_domain[domain] = [vm for vm in free if vm.id not in ids]
@@ -366,7 +392,7 @@
                     continue
                 index = 0
                 while len(self._free_by_domain[domain]) >= size + spares:
-                    if self._loading >= MAX_LOADING_GROUPS:
+                    if self._loading >= self._loads_at_once:
                         return
                     name = f"{service.name}:{SURPLUS_MARK}:{domain}:{index}"
                     index += 1
--- a/pimentogap/groups/_service.py
+++ b/pimentogap/groups/_service.py
@@ -37,6 +37,8 @@
 LOSSES_BEFORE_QUARANTINE = 3
 LOSS_WINDOW_S = 300.0
 NOTICE_CALL = "groups.notice"
+NOTICE_TIMEOUT_S = 1.0
+DOUBT_DURATION_S = 10.0
 
 
 class GroupService:
@@ -72,6 +74,8 @@
         "_noticed",
         "_next_decision",
         "_unwritten",
+        "_doubted_at_by_key",
+        "_unreachable_vms",
     )
 
     def __init__(self, http, *, region):
@@ -93,6 +97,8 @@
         self._noticed = asyncio.Event()
         self._next_decision = 0
         self._unwritten = False
+        self._doubted_at_by_key = {}
+        self._unreachable_vms = set()
         self._forget_object()
 
     async def start(self, kernel):
@@ -118,16 +124,16 @@
         except StoreError as error:
             log.debug("the lease is left to lapse: {}", error)
 
-    def notice(self):
-        """Have the plan reconsidered soon, since a group was seen incomplete."""
-        if self.lease.valid():
-            self._noticed.set()
-            for wake in self._wake_by_vm.values():
-                wake.set()
-            return
-        holder = (self.lease.holder or "").partition("/")[0]
-        if holder:
-            self._kernel.spawn(self.name, self._tell_holder, holder)
+    def notice(self, server_id):
+        """Have the plan reconsidered, since a group was seen incomplete.
+
+        :param server_id: names the generation, as GROUP/GENERATION.
+        """
+        self._doubt(server_id)
+        table = self._kernel.get("peers").table
+        for daemon_id in table.lease_candidates(self._region):
+            if daemon_id != table.own_id:
+                self._kernel.spawn(self.name, self._tell, daemon_id, server_id)
 
     async def decisions(self):
         """Return the recent `Decision` objects of the region, oldest first.
@@ -137,22 +143,35 @@
         stored = await self._kernel.get("store").get(DECISIONS, self._region)
         return [load_decision(data) for data in stored.value] if stored else []
 
-    async def _tell_holder(self, holder):
+    def _doubt(self, server_id):
+        if not self.lease.valid():
+            return
+        group, _, generation = server_id.rpartition("/")
+        now = self._kernel.clock.time()
+        self._doubted_at_by_key[group, int(generation)] = now
+        for wake in self._wake_by_vm.values():
+            wake.set()
+        self._noticed.set()
+
+    async def _tell(self, daemon_id, server_id):
+        peers = self._kernel.get("peers")
+        body = {"server_id": server_id}
         try:
-            peers = self._kernel.get("peers")
-            await peers.call(holder, NOTICE_CALL, {}, timeout_s=1.0)
+            await peers.call(daemon_id, NOTICE_CALL, body, timeout_s=NOTICE_TIMEOUT_S)
         except (PeerUnreachable, ResponseLost) as error:
-            log.debug("{} was not told: {}", holder, error)
+            log.debug("{} was not told: {}", daemon_id, error)
 
     async def _answer_notice(self, body):
-        if self.lease.valid():
-            self.notice()
+        self._doubt(body["server_id"])
         return {}
 
     async def _keep_lease(self):
+        table = self._kernel.get("peers").table
+        own_id = table.own_id
         while True:
-            held = await self.lease.step()
-            if not held:
+            if self.lease.valid() or own_id in table.lease_candidates(self._region):
+                await self.lease.step()
+            if not self.lease.valid():
                 self._forget_object()
             await self._kernel.clock.sleep(RENEW_INTERVAL_S)
 
@@ -257,6 +276,9 @@
                 losses = self._losses_by_vm.setdefault(vm.id, deque(maxlen=8))
                 losses.append(now)
             self._incarnations_by_vm[vm.id] = vm.incarnation
+        present = {assignment.key for assignment in self._assignments}
+        for key in set(self._doubted_at_by_key) - present:
+            del self._doubted_at_by_key[key]
         draining = {a.key for a in self._assignments if a.draining}
         for key in draining:
             self._draining_since_by_key.setdefault(key, now)
@@ -274,6 +296,15 @@
         view.absent_since_by_vm = self._absent_since_by_vm
         view.draining_since_by_key = self._draining_since_by_key
         view.quarantined_until_by_vm = self._quarantines(view.now)
+        view.doubted = frozenset(
+            key
+            for key, at in self._doubted_at_by_key.items()
+            if view.now - at < DOUBT_DURATION_S
+        )
+        view.unreachable_vms = frozenset(self._unreachable_vms)
+        view.cached_by_vm = {
+            vm_id: holding.cached for vm_id, holding in self._holdings_by_vm.items()
+        }
         heads = [(a, self._holdings_by_vm.get(a.head.id)) for a in self._assignments]
         held = [
             (a, h)
@@ -369,6 +400,7 @@
                 pass
             vms_by_id = self._kernel.get("fleet").vms_by_id
         self._holdings_by_vm.pop(vm_id, None)
+        self._unreachable_vms.discard(vm_id)
         self._tasks_by_vm.pop(vm_id, None)
 
     async def _settle_once(self, vm):
@@ -376,7 +408,10 @@
         holding = await self._orders.read(vm.address)
         if holding is None:
             self._holdings_by_vm.pop(vm.id, None)
+            self._unreachable_vms.add(vm.id)
+            self._noticed.set()
             return UNSETTLED_READ_S
+        self._unreachable_vms.discard(vm.id)
         before = self._holdings_by_vm.get(vm.id)
         self._holdings_by_vm[vm.id] = holding
         if before is None or before.ready != holding.ready:
--- a/pimentogap/limits/_service.py
+++ b/pimentogap/limits/_service.py
@@ -101,7 +101,7 @@
             raise Refused(_too_late(wait_s))
 
     def _share(self, workspace):
-        daemons = max(1, len(self._kernel.get("peers").table.in_reach()))
+        daemons = max(1, self._kernel.get("peers").table.reach().reachable)
         burst = max(1.0, workspace.burst_requests / daemons)
         return workspace.requests_per_s / daemons, burst
 
--- a/pimentogap/peers/_grpc.py
+++ b/pimentogap/peers/_grpc.py
@@ -28,11 +28,21 @@
     """Opens sessions to other daemons and accepts theirs.
 
     Each side proves that it knows the fleet's key; strangers are refused.
+    ``bytes_sent`` and ``bytes_received`` count the frames of sessions.
     """
 
-    __slots__ = ("_own_id", "_fleet_key", "_server", "_channels_by_address")
+    __slots__ = (
+        "bytes_sent",
+        "bytes_received",
+        "_own_id",
+        "_fleet_key",
+        "_server",
+        "_channels_by_address",
+    )
 
     def __init__(self, own_id, fleet_key):
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._own_id = own_id
         self._fleet_key = fleet_key.encode()
         self._server = None
@@ -72,7 +82,7 @@
             async with stub.Exchange.open(metadata=self._metadata()) as stream:
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await stream.send_request()
-                yield GrpcSession(stream)
+                yield GrpcSession(stream, self)
                 await stream.cancel()
         except GRPCError as error:
             if error.status is Status.UNAUTHENTICATED:
@@ -122,18 +132,21 @@
 class GrpcSession:
     """Sends and receives lists of entries on one stream."""
 
-    __slots__ = ("_stream",)
+    __slots__ = ("_stream", "_transport")
 
-    def __init__(self, stream):
+    def __init__(self, stream, transport):
         self._stream = stream
+        self._transport = transport
 
     async def send(self, entries):
         """Send ``entries`` as one frame.
 
         :raises PeerUnreachable: if the session has ended.
         """
+        frame = encode_frame(entries)
+        self._transport.bytes_sent += frame.ByteSize()
         try:
-            await self._stream.send_message(encode_frame(entries))
+            await self._stream.send_message(frame)
         except (GRPCError, StreamTerminatedError, OSError) as error:
             raise PeerUnreachable(repr(error))
 
@@ -148,6 +161,7 @@
             raise PeerUnreachable(repr(error))
         if frame is None:
             raise PeerUnreachable("the other side ended the session")
+        self._transport.bytes_received += frame.ByteSize()
         return decode_frame(frame)
 
 
@@ -164,7 +178,7 @@
     async def Exchange(self, stream):  # noqa: N802
         self._admit(stream)
         try:
-            await self._accept_session(GrpcSession(stream))
+            await self._accept_session(GrpcSession(stream, self._transport))
         except PeerUnreachable:
             pass
 
--- a/pimentogap/peers/_membership.py
+++ b/pimentogap/peers/_membership.py
@@ -6,6 +6,7 @@
 from pimentogap.tickets import Reach
 
 CHOSEN_NEIGHBOURS = 3
+LEASE_CANDIDATES = 2
 IN_REACH = (MemberStatus.ALIVE, MemberStatus.STOPPING)
 
 
@@ -17,12 +18,12 @@
     time to forget it has passed.
     """
 
-    __slots__ = ("own_id", "members_by_id", "_neighbours")
+    __slots__ = ("own_id", "members_by_id", "_derived_by_name")
 
     def __init__(self, own):
         self.own_id = own.id
         self.members_by_id = {own.id: own}
-        self._neighbours = None
+        self._derived_by_name = {}
 
     @property
     def own(self):
@@ -36,13 +37,13 @@
             return False
         self.members_by_id[record.id] = record
         if held is None or held.status != record.status:
-            self._neighbours = None
+            self._derived_by_name.clear()
         return True
 
     def forget(self, member_id):
         """Drop the record of a daemon."""
         del self.members_by_id[member_id]
-        self._neighbours = None
+        self._derived_by_name.clear()
 
     def in_reach(self):
         """Return the records of the daemons that are up, as far as is known."""
@@ -50,9 +51,7 @@
 
     def reach(self):
         """Return how many daemons are known and how many of them are up."""
-        members = self.members_by_id.values()
-        known = sum(m.status != MemberStatus.LEFT for m in members)
-        return Reach(known, len(self.in_reach()))
+        return self._derived("reach", self._count_reach)
 
     def neighbours(self):
         """Return the ids of the daemons that this one opens sessions to.
@@ -60,19 +59,45 @@
         The successor on the ring of ids keeps the fleet connected; the others
         are chosen by rendezvous hash, so that few change when daemons do.
         """
-        if self._neighbours is None:
-            self._neighbours = self._choose_neighbours()
-        return self._neighbours
+        return self._derived("neighbours", self._choose_neighbours)
 
     def is_watcher(self):
         """Return whether this daemon follows the store for its availability zone."""
+        return self._derived("watcher", self._choose_watcher) == self.own_id
+
+    def lease_candidates(self, region):
+        """Return the ids of the daemons that compete for the leases of ``region``.
+
+        They are two, so that the store's calls do not grow with the fleet.
+        """
+        return self._derived(region, lambda: self._choose_candidates(region))
+
+    def _derived(self, name, work_out):
+        """Return what was worked out since a status last changed, or work it out."""
+        if name not in self._derived_by_name:
+            self._derived_by_name[name] = work_out()
+        return self._derived_by_name[name]
+
+    def _count_reach(self):
+        members = self.members_by_id.values()
+        known = sum(m.status != MemberStatus.LEFT for m in members)
+        return Reach(known, len(self.in_reach()))
+
+    def _choose_watcher(self):
         zone = self.own.availability_zone
-        ids = [
-            m.id
-            for m in self.members_by_id.values()
-            if m.availability_zone == zone and m.status == MemberStatus.ALIVE
+        ids = self._alive_ids(lambda member: member.availability_zone == zone)
+        return min(ids, key=_hash, default=self.own_id)
+
+    def _choose_candidates(self, region):
+        ids = self._alive_ids(lambda member: member.region == region)
+        return sorted(ids, key=_hash)[:LEASE_CANDIDATES]
+
+    def _alive_ids(self, wanted):
+        return [
+            member.id
+            for member in self.members_by_id.values()
+            if member.status == MemberStatus.ALIVE and wanted(member)
         ]
-        return not ids or min(ids, key=_hash) == self.own_id
 
     def _choose_neighbours(self):
         ids = sorted(m.id for m in self.in_reach() if m.id != self.own_id)
--- a/pimentogap/routing/_service.py
+++ b/pimentogap/routing/_service.py
@@ -168,7 +168,7 @@
         replica.revoke()
         groups = self._kernel.find("groups")
         if groups is not None:
-            groups.notice()
+            groups.notice(replica.server.id)
 
 
 class _ReportReceiver:
--- a/pimentogap/types/__init__.py
+++ b/pimentogap/types/__init__.py
@@ -12,6 +12,7 @@
     PlainService,
     PlannedStop,
     SettledAction,
+    WeightStore,
     Workspace,
     key_of,
 )
@@ -51,6 +52,7 @@
     "SettledAction",
     "Vm",
     "VmState",
+    "WeightStore",
     "Workspace",
     "key_of",
     "not_run",
--- a/pimentogap/types/_configuration.py
+++ b/pimentogap/types/_configuration.py
@@ -119,6 +119,17 @@
     checks_fencing_number: bool = shaped(Flag())
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WeightStore:
+    """How many model groups of a region may load weights at once.
+
+    Loads share the weight store's rate; few at a time are done sooner.
+    """
+
+    name: str = shaped(name_shape("the region's name"))
+    loads_at_once: int = shaped(Integer("model groups", 1, 1000))
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Operator:
     """A person who may submit tickets."""
@@ -150,6 +161,7 @@
     "planned_stop": PlannedStop,
     "engine_kind": EngineKind,
     "operator": Operator,
+    "weight_store": WeightStore,
     "settled_action": SettledAction,
 }
 KINDS_BY_ITEM_CLASS = {cls: kind for kind, cls in ITEM_CLASSES_BY_KIND.items()}
--- a/standins/_engines.py
+++ b/standins/_engines.py
@@ -163,6 +163,7 @@
         "_blocks",
         "_events",
         "_load_task",
+        "_cached_weights",
     )
 
     def __init__(self, fleet, vm, checks_fencing_number):
@@ -187,6 +188,7 @@
         self._waiting = []
         self._blocks = {}
         self._events = []
+        self._cached_weights = None
         if self._load_task is not None:
             self._load_task.cancel()
             self._load_task = None
@@ -241,7 +243,10 @@
         self.ready = False
 
     async def _load(self):
-        await self.fleet.weight_store.load(self.fleet.timing.weights_bytes_per_vm)
+        weights = f"{self.holding['model']}/{self.holding['version']}"
+        if self._cached_weights != weights:
+            await self.fleet.weight_store.load(self.fleet.timing.weights_bytes_per_vm)
+        self._cached_weights = weights
         self.ready = True
 
     def report(self):
@@ -265,6 +270,7 @@
             "running": self._running,
             "waiting": len(self._waiting),
             "capacity": self.fleet.timing.max_running,
+            "cached": [self._cached_weights] if self._cached_weights else [],
         }
 
     def _complete_group(self):
