Place requests by a load estimate that ages, and queue fairly under overload

The concurrency limit shrank to its minimum on any waiting at one replica; reports half a second old were taken for the present; the expected wait counted everybody's queue, so small workspaces were refused for a large one's requests. A surplus group's name was not valid as a name, which ended peers' sessions. Change: a report counts less as it ages towards the time that requests stay, and a daemon's own requests in flight stand for those of the others; the limit never falls below the daemon's even part of the capacity; the expected wait counts only those ahead in the fair queue, with a margin and the time to serve; the size of an engine's prefix cache bounds what is remembered of it; surplus names are valid and reserved; bad assignments from a peer are logged and left.

--- a/features/g1_whole_groups/repair.feature
+++ b/features/g1_whole_groups/repair.feature
@@ -49,3 +49,16 @@
     Then every caller has its own whole answer
     And no request came to a group whose VM had been missing for 2.5 s
     And 3 groups may be used by every daemon
+
+  Scenario: VMs to spare form a surplus group, which is given up for a configured one
+    Given a fleet of 3 daemons and 5 VMs in each of 3 fabric domains
+    And 3 groups of 2 VMs that weigh stranded accelerators
+    Then a surplus group may be used by every daemon
+    When callers begin to ask every daemon steadily for 30 s
+    And 1 s pass
+    And fabric domain z-a-f0 goes dark
+    And everything under way ends
+    And 10 s pass
+    Then every caller has its own whole answer
+    And 3 groups may be used by every daemon
+    And no version of the assignments has a VM in two groups
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -6,6 +6,7 @@
 
 from features.environment import build_fleet
 from pimentogap.tickets import Accepted, may_serve, parse_ticket
+from pimentogap.types import SURPLUS_PREFIX
 
 DETECTION_LIMIT_S = 2.5
 LEAVING_LIMIT_S = 3.0
@@ -54,12 +55,13 @@
 
 
 @given("{count:d} model groups of {size:d} VMs")
-def given_groups(context, count, size):
+def given_groups(context, count, size, downtime_weight=0.8):
     service = {
         "kind": "model_service",
         "name": "m",
         "model": "m",
         "vms_per_group": size,
+        "downtime_weight": downtime_weight,
     }
     groups = [
         {"kind": "model_group", "name": f"g-{i}", "service": "m", "region": "r"}
@@ -70,6 +72,12 @@
     then_all_groups(context, count)
 
 
+@given("{count:d} groups of {size:d} VMs that weigh stranded accelerators")
+def given_groups_weighing(context, count, size):
+    given_groups(context, count, size, downtime_weight=0.0)
+    context.paused.wait(5)
+
+
 @given("a plain service with workspace w")
 def given_plain(context):
     backends = [
@@ -204,6 +212,16 @@
         assert configured <= permitted, (daemon.index, permitted)
 
 
+@then("a surplus group may be used by every daemon")
+def then_surplus(context):
+    now = context.paused.runner.get_loop().time()
+    for daemon in context.paused.fleet.daemons_by_index.values():
+        assert any(
+            replica.server.id.startswith(SURPLUS_PREFIX) and replica.permitted(now)
+            for replica in daemon.get("routing").replicas("m")
+        )
+
+
 @then("no request came to a group whose VM had been missing for {limit:g} s")
 def then_none_sent_late(context, limit):
     assert limit == DETECTION_LIMIT_S
--- a/pimentogap/actions/_sending.py
+++ b/pimentogap/actions/_sending.py
@@ -65,6 +65,7 @@
                 case Forward(replica, _):
                     excluded.add(replica.server.id)
             replica.began()
+            sent_at = self._kernel.clock.time()
             try:
                 response = await self._http.fetch(
                     replica.server.address,
@@ -81,7 +82,7 @@
                 return Lost(str(error))
             finally:
                 replica.ended()
-            replica.succeeded()
+            replica.succeeded(self._kernel.clock.time() - sent_at)
             if response.headers.get(RUN_STATE_HEADER) == "not_run":
                 detail = f"{replica.server.id} did not run it"
                 continue
--- a/pimentogap/fleet/_service.py
+++ b/pimentogap/fleet/_service.py
@@ -2,7 +2,7 @@
 
 from logbook import Logger
 
-from pimentogap.errors import StoreError, WatchCompacted
+from pimentogap.errors import InvalidDocument, StoreError, WatchCompacted
 from pimentogap.kernel import RestartOnError
 from pimentogap.peers import VmLeaving
 from pimentogap.schema import check
@@ -168,10 +168,13 @@
         collection, _, region = name.partition("/")
         if collection != ASSIGNMENTS:
             return
+        try:
+            assignments = [check(Assignment, data) for data in value["assignments"]]
+        except InvalidDocument as error:
+            log.error("the assignments of {} are not used: {}", region, error)
+            return
         self.versions_by_region[region] = version
-        self.assignments_by_region[region] = [
-            check(Assignment, data) for data in value["assignments"]
-        ]
+        self.assignments_by_region[region] = assignments
         self.assignments_by_server_id = {
             f"{assignment.group}/{assignment.generation}": assignment
             for assignment in self.assignments()
--- a/pimentogap/groups/_planner.py
+++ b/pimentogap/groups/_planner.py
@@ -4,14 +4,13 @@
 from dataclasses import dataclass, replace
 
 from pimentogap.groups._decisions import Action
-from pimentogap.types import AssignedVm, Assignment, VmState
+from pimentogap.types import SURPLUS_PREFIX, AssignedVm, Assignment, VmState
 
 ABSENT_CONFIRM_S = 2.0
 DRAIN_MINIMUM_S = 3.0
 DRAIN_LIMIT_S = 600.0
 QUARANTINE_S = 30.0
 LOADS_AT_ONCE = 4
-SURPLUS_MARK = "surplus"
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,7 +211,7 @@
     def _is_wanted(self, assignment):
         group = self._groups.get(assignment.group)
         if group is None:
-            return SURPLUS_MARK in assignment.group.split(":")
+            return assignment.group.startswith(SURPLUS_PREFIX)
         if group.service != assignment.service:
             return False
         if group.fabric_domain and group.fabric_domain != assignment.fabric_domain:
@@ -394,7 +393,7 @@
                 while len(self._free_by_domain[domain]) >= size + spares:
                     if self._loading >= self._loads_at_once:
                         return
-                    name = f"{service.name}:{SURPLUS_MARK}:{domain}:{index}"
+                    name = f"{SURPLUS_PREFIX}{service.name}.{domain}.{index}"
                     index += 1
                     if name in present:
                         continue
--- a/pimentogap/limits/_queue.py
+++ b/pimentogap/limits/_queue.py
@@ -4,7 +4,7 @@
 import heapq
 
 EWMA_SHARE = 0.1
-INITIAL_SERVICE_S = 1.0
+INITIAL_SERVICE_S = 0.1
 PRIORITY_RANKS = {"interactive": 0, "batch": 1}
 
 
@@ -49,12 +49,19 @@
         self._last_tag_by_workspace = {}
         self._sequence = 0
 
-    def expected_wait_s(self):
-        """Return how long a request that joins now is expected to wait."""
-        ahead = self.running + self.waiting_count - self.limit
-        if ahead < 0:
+    def expected_wait_s(self, workspace, *, weight, priority):
+        """Return how long a request that joins now is expected to wait.
+
+        Only those count that would be let in before it.
+        """
+        if self.running < self.limit and not self.waiting_count:
             return 0.0
-        return (ahead + 1) * self.service_s / max(1.0, self.limit)
+        mine = (PRIORITY_RANKS[priority], self._next_tag(workspace, weight))
+        before = sum(
+            (rank, tag) <= mine and not entry.cancelled
+            for rank, tag, _, entry in self._heap
+        )
+        return (before + 1) * self.service_s / max(1.0, self.limit)
 
     async def enter(self, workspace, *, weight, priority):
         """Wait for a place. Cancelling the call gives the turn up."""
@@ -94,8 +101,7 @@
             entry.turn.set_result(None)
 
     def _join(self, workspace, weight, priority):
-        last = self._last_tag_by_workspace.get(workspace, 0.0)
-        tag = max(self._virtual_time, last) + 1.0 / weight
+        tag = self._next_tag(workspace, weight)
         self._last_tag_by_workspace[workspace] = tag
         turn = asyncio.get_running_loop().create_future()
         entry = Waiting(workspace, priority, tag, turn)
@@ -104,3 +110,7 @@
         heapq.heappush(self._heap, (rank, tag, self._sequence, entry))
         self.waiting_count += 1
         return entry
+
+    def _next_tag(self, workspace, weight):
+        last = self._last_tag_by_workspace.get(workspace, 0.0)
+        return max(self._virtual_time, last) + 1.0 / weight
--- a/pimentogap/limits/_service.py
+++ b/pimentogap/limits/_service.py
@@ -14,16 +14,18 @@
 INCREASE_SHARE = 0.05
 DECREASE_FACTOR = 0.9
 WAITING_SHARE = 0.1
+EVEN_PART_FACTOR = 1.05
 CAPACITY_HEADROOM = 1.1
-MAX_LIMIT = 4096.0
+ESTIMATE_MARGIN = 1.5
 
 
 class LimitService:
     """Holds a daemon's shares of the fleet's limits, without a call for a request.
 
     A workspace's limit is divided evenly among the daemons in reach. Places at
-    a service are limited by a number that grows while its replicas report no
-    waiting requests, and shrinks while they do.
+    a service are limited by a number that grows while its replicas report few
+    waiting requests, and shrinks while they report many, but never below the
+    daemon's even part of the fleet's capacity.
     """
 
     name = "limits"
@@ -71,14 +73,14 @@
         """
         queue = self.queue(service_name)
         clock = self._kernel.clock
-        self._check_wait(queue, deadline - clock.time())
+        turn = {"weight": workspace.weight, "priority": priority}
+        wait_s = queue.expected_wait_s(workspace.name, **turn)
+        self._check_wait(queue, wait_s, deadline - clock.time())
         try:
-            async with clock.timeout(deadline - clock.time()):
-                await queue.enter(
-                    workspace.name, weight=workspace.weight, priority=priority
-                )
+            async with clock.timeout(deadline - clock.time() - queue.service_s):
+                await queue.enter(workspace.name, **turn)
         except TimeoutError:
-            raise Refused(_too_late(queue.expected_wait_s()))
+            raise Refused(_too_late(wait_s))
         began_at = clock.time()
         try:
             yield
@@ -92,12 +94,11 @@
             queue = self._queues_by_service[service_name] = FairQueue(FIRST_LIMIT)
         return queue
 
-    def _check_wait(self, queue, remaining_s):
-        wait_s = queue.expected_wait_s()
+    def _check_wait(self, queue, wait_s, remaining_s):
         if queue.waiting_count >= self._max_queue:
             detail = "too many requests wait already"
             raise Refused(not_run(RefusalCode.OVERLOADED, detail, retry_after_s=wait_s))
-        if wait_s > remaining_s:
+        if ESTIMATE_MARGIN * (wait_s + queue.service_s) > remaining_s:
             raise Refused(_too_late(wait_s))
 
     def _share(self, workspace):
@@ -128,17 +129,19 @@
 
     def _adjust_queue(self, service_name, queue):
         routing = self._kernel.get("routing")
-        replicas = routing.replicas(service_name)
         capacity = routing.capacity(service_name)
         if not capacity:
             return
-        waiting = sum(replica.waiting for replica in replicas)
+        daemons = max(1, self._kernel.get("peers").table.reach().reachable)
+        whole = capacity * routing.subset_factor(service_name)
+        even_part = max(MINIMUM_LIMIT, EVEN_PART_FACTOR * whole / daemons)
+        waiting = sum(replica.waiting for replica in routing.replicas(service_name))
         if waiting > WAITING_SHARE * capacity:
-            queue.limit = max(MINIMUM_LIMIT, queue.limit * DECREASE_FACTOR)
+            queue.limit *= DECREASE_FACTOR
         elif queue.running >= queue.limit - 1:
-            step = max(1.0, queue.limit * INCREASE_SHARE)
-            queue.limit = min(MAX_LIMIT, queue.limit + step)
-        queue.limit = min(queue.limit, max(MINIMUM_LIMIT, capacity * CAPACITY_HEADROOM))
+            queue.limit += max(1.0, queue.limit * INCREASE_SHARE)
+        most = max(even_part, CAPACITY_HEADROOM * capacity)
+        queue.limit = min(most, max(even_part, queue.limit))
 
 
 def _too_late(wait_s):
--- a/pimentogap/lookups/_service.py
+++ b/pimentogap/lookups/_service.py
@@ -96,7 +96,7 @@
             return None
         finally:
             replica.ended()
-        replica.succeeded()
+        replica.succeeded(clock.time() - sent_at)
         replica.observe_first_token(clock.time() - sent_at)
         return response
 
--- a/pimentogap/routing/_policy.py
+++ b/pimentogap/routing/_policy.py
@@ -8,8 +8,7 @@
 RANDOM_CANDIDATES = 2
 PREFIX_CANDIDATES = 2
 BLOCK_PREFILL_S = 0.0016
-FULL_LOAD_S = 0.25
-OVERLOAD_S = 2.0
+FULL_LOAD_S = 0.04
 OTHER_ZONE_S = 0.002
 STRAGGLER_RATIO = 2.5
 RETRY_AFTER_S = 1.0
@@ -30,7 +29,7 @@
     server_id: str
     cost_s: float
     cached_blocks: int
-    load: int
+    load: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,13 +53,14 @@
         self._random = random
         self._zone = availability_zone
 
-    def decide(self, replicas, *, blocks, now, excluded=()):
+    def decide(self, replicas, *, blocks, now, excluded=(), sharing=1.0):
         """Return `Forward` or `Refuse`.
 
         :param replicas: the servers of the service that the daemon knows.
         :param blocks: the prompt's prefix blocks, empty for a plain service.
         :param now: seconds of the runtime's clock.
         :param excluded: ids of servers that this request has failed at.
+        :param sharing: how many daemons send to each server.
         """
         permitted = [r for r in replicas if r.permitted(now)]
         usable = [r for r in permitted if r.server.id not in excluded]
@@ -71,10 +71,15 @@
             return Refuse(not_run(code, detail, retry_after_s=RETRY_AFTER_S))
         candidates = self._candidates(healthy or usable, blocks)
         step_s = self._typical_step(usable)
-        costs = [(self._cost(r, blocks, now, step_s), r) for r in candidates]
+        costs = [(self._cost(r, blocks, now, step_s, sharing), r) for r in candidates]
         considered = tuple(
-            Considered(r.server.id, round(c, 4), r.cached_blocks(blocks), r.load())
-            for c, r in costs
+            Considered(
+                replica.server.id,
+                round(cost_s, 4),
+                replica.cached_blocks(blocks),
+                round(replica.load(now, sharing), 1),
+            )
+            for cost_s, replica in costs
         )
         _, best = min(costs, key=lambda pair: pair[0])
         return Forward(best, considered)
@@ -84,16 +89,14 @@
         chosen = self._random.sample(replicas, count)
         if blocks:
             holders = [r for r in replicas if blocks[0] in r.blocks]
-            holders.sort(key=lambda r: (-r.cached_blocks(blocks), r.load()))
+            holders.sort(key=lambda r: (-r.cached_blocks(blocks), r.in_flight))
             chosen.extend(r for r in holders[:PREFIX_CANDIDATES] if r not in chosen)
         return chosen
 
-    def _cost(self, replica, blocks, now, step_s):
+    def _cost(self, replica, blocks, now, step_s, sharing):
         capacity = replica.capacity * replica.trust(now)
-        load = (replica.load() + 1) / capacity
-        cost_s = FULL_LOAD_S * load
-        if load > 1:
-            cost_s += OVERLOAD_S * (load - 1)
+        load = (replica.load(now, sharing) + 1) / capacity
+        cost_s = FULL_LOAD_S * load + replica.stay_s * max(0.0, load - 1)
         cost_s += BLOCK_PREFILL_S * (len(blocks) - replica.cached_blocks(blocks))
         if replica.server.availability_zone != self._zone:
             cost_s += OTHER_ZONE_S
--- a/pimentogap/routing/_replicas.py
+++ b/pimentogap/routing/_replicas.py
@@ -10,6 +10,8 @@
 EJECT_BASE_S = 2.0
 EJECT_LIMIT_S = 60.0
 EWMA_SHARE = 0.2
+INITIAL_STAY_S = 0.5
+LEAST_STAY_S = 0.02
 REMEMBERED_BLOCKS = 4096
 
 
@@ -35,6 +37,9 @@
         "first_token_s",
         "step_s",
         "blocks",
+        "cache_blocks",
+        "reported_at",
+        "stay_s",
     )
 
     def __init__(self, server):
@@ -52,6 +57,9 @@
         self.first_token_s = None
         self.step_s = None
         self.blocks = OrderedDict()
+        self.reported_at = -math.inf
+        self.stay_s = INITIAL_STAY_S
+        self.cache_blocks = REMEMBERED_BLOCKS
 
     def permit(self, now):
         """Renew the permission on evidence received at ``now``."""
@@ -79,16 +87,28 @@
         grown = FIRST_TRUST + (now - since) / TRUST_RAMP_S
         return min(1.0, max(FIRST_TRUST, grown))
 
-    def load(self):
-        """Return the requests at the server, reported ones and our newer ones."""
-        return max(self.running + self.waiting + self.sent_since_report, self.in_flight)
+    def load(self, now, sharing):
+        """Return how many requests the server is likely to have at ``now``.
 
-    def reported(self, *, running, waiting, capacity, cache_added):
-        """Take in a load report; those requests of ours are in it by now."""
+        A report tells of all daemons' requests but grows old within the time
+        that a request stays; our own requests in flight are known exactly, and
+        ``sharing`` daemons are taken to do alike.
+        """
+        freshness = math.exp((self.reported_at - now) / self.stay_s)
+        reported = self.running + self.waiting + self.sent_since_report
+        return freshness * reported + (1 - freshness) * self.in_flight * sharing
+
+    def reported(self, now, *, running, waiting, capacity, cache_added, cache_blocks):
+        """Take in a load report; our earlier requests are in it by now.
+
+        :param cache_blocks: how many prompt blocks the server's cache can hold.
+        """
+        self.cache_blocks = min(cache_blocks, REMEMBERED_BLOCKS)
         self.running = running
         self.waiting = waiting
         self.capacity = max(1, capacity)
         self.sent_since_report = 0
+        self.reported_at = now
         self.remember(cache_added)
 
     def remember(self, blocks):
@@ -96,7 +116,7 @@
         for block in blocks:
             self.blocks[block] = True
             self.blocks.move_to_end(block)
-        while len(self.blocks) > REMEMBERED_BLOCKS:
+        while len(self.blocks) > self.cache_blocks:
             self.blocks.popitem(last=False)
 
     def cached_blocks(self, blocks):
@@ -117,8 +137,9 @@
         """Note that a request has ended, one way or another."""
         self.in_flight -= 1
 
-    def succeeded(self):
-        """Close the series of failures."""
+    def succeeded(self, stay_s):
+        """Close the series of failures, after a request that took ``stay_s``."""
+        self.stay_s = max(LEAST_STAY_S, _averaged(self.stay_s, stay_s))
         self.failures = 0
         self.ejections = 0
 
--- a/pimentogap/routing/_service.py
+++ b/pimentogap/routing/_service.py
@@ -7,7 +7,7 @@
 from pimentogap.errors import ConnectionFailed, ResponseLost
 from pimentogap.kernel import RestartOnError
 from pimentogap.routing._policy import PlacementPolicy
-from pimentogap.routing._replicas import Replica
+from pimentogap.routing._replicas import REMEMBERED_BLOCKS, Replica
 from pimentogap.routing._subset import choose_subset
 from pimentogap.web import HttpRequest
 
@@ -36,6 +36,7 @@
         "_replicas_by_id",
         "_tasks_by_id",
         "_own",
+        "_servers_by_service",
     )
 
     def __init__(self, http):
@@ -46,6 +47,7 @@
         self._replicas_by_id = {}
         self._tasks_by_id = {}
         self._own = None
+        self._servers_by_service = {}
 
     async def start(self, kernel):
         """Follow the fleet's backend servers."""
@@ -62,11 +64,13 @@
 
     def decide(self, service, *, blocks=(), excluded=()):
         """Return `Forward` or `Refuse` for a request to ``service``."""
+        reachable = self._kernel.get("peers").table.reach().reachable
         return self.policy.decide(
             self.replicas(service),
             blocks=blocks,
             now=self._kernel.clock.time(),
             excluded=excluded,
+            sharing=max(1.0, reachable / self.subset_factor(service)),
         )
 
     def replicas(self, service):
@@ -86,6 +90,11 @@
             if replica.permitted(now)
         )
 
+    def subset_factor(self, service):
+        """Return how many times more servers the service has than the daemon uses."""
+        used = sum(r.server.service == service for r in self._replicas_by_id.values())
+        return self._servers_by_service.get(service, 0) / used if used else 1.0
+
     def _is_leaving(self, replica):
         fleet = self._kernel.get("fleet")
         assignment = self._assignment(replica.server)
@@ -121,6 +130,9 @@
         servers_by_service = {}
         for server in self._kernel.get("fleet").backend_servers().values():
             servers_by_service.setdefault(server.service, []).append(server)
+        self._servers_by_service = {
+            service: len(servers) for service, servers in servers_by_service.items()
+        }
         return {
             server.id: server
             for servers in servers_by_service.values()
@@ -154,10 +166,12 @@
             self._lose_permission(replica)
             return
         replica.reported(
+            self._kernel.clock.time(),
             running=report["running"],
             waiting=report["waiting"],
             capacity=report["capacity"],
             cache_added=report["cache_added"],
+            cache_blocks=report.get("cache_blocks", REMEMBERED_BLOCKS),
         )
         replica.permit(self._kernel.clock.time())
 
--- a/pimentogap/streams/_service.py
+++ b/pimentogap/streams/_service.py
@@ -165,6 +165,7 @@
         """
         receiver = _AttemptReceiver(self._kernel.clock, replica, progress)
         replica.began()
+        sent_at = self._kernel.clock.time()
         exchange = asyncio.ensure_future(
             self._http.exchange(
                 replica.server.address,
@@ -180,7 +181,7 @@
                 exchange.cancel()
         if not progress.finished:
             raise ResponseLost("the stream ended before its last event")
-        replica.succeeded()
+        replica.succeeded(self._kernel.clock.time() - sent_at)
 
     async def _watch_progress(self, exchange, receiver):
         """Wait for the exchange to end; give it up when the replica falls silent."""
--- a/pimentogap/tickets/_validate.py
+++ b/pimentogap/tickets/_validate.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from pimentogap.types import SURPLUS_PREFIX
+
 
 @dataclass(frozen=True, slots=True)
 class Violation:
@@ -51,6 +53,8 @@
     groups_by_vm = {}
     for name, group in configuration.by_name("model_group").items():
         subject = f"model_group {name}"
+        if name.startswith(SURPLUS_PREFIX):
+            yield Violation(subject, f"names that begin with {SURPLUS_PREFIX} are kept")
         service = services.get(group.service)
         if service is None:
             yield Violation(subject, f"no model_service is called {group.service}")
--- a/pimentogap/types/__init__.py
+++ b/pimentogap/types/__init__.py
@@ -17,6 +17,7 @@
     key_of,
 )
 from pimentogap.types._fleet import (
+    SURPLUS_PREFIX,
     AssignedVm,
     Assignment,
     BackendServer,
@@ -35,6 +36,7 @@
     "HTTP_STATUS_BY_CODE",
     "ITEM_CLASSES_BY_KIND",
     "KINDS_BY_ITEM_CLASS",
+    "SURPLUS_PREFIX",
     "AssignedVm",
     "Assignment",
     "BackendServer",
--- a/pimentogap/types/_fleet.py
+++ b/pimentogap/types/_fleet.py
@@ -10,10 +10,14 @@
     Integer,
     Listing,
     Record,
+    Text,
     name_shape,
     shaped,
 )
 
+# Names of model groups that the controller forms of VMs to spare begin so.
+SURPLUS_PREFIX = "surplus."
+
 
 class VmState(StrEnum):
     """What the platform's list says of a VM."""
@@ -52,7 +56,7 @@
     A draining generation gets no new requests and ends with its last one.
     """
 
-    group: str = shaped(name_shape())
+    group: str = shaped(Text(r"[a-z0-9._-]+", "a model group", 255))
     service: str = shaped(name_shape())
     model: str = shaped(name_shape())
     version: str = shaped(name_shape())
--- a/standins/_engines.py
+++ b/standins/_engines.py
@@ -292,7 +292,11 @@
         while self.up:
             if not self.frozen:
                 events, self._events = self._events[-64:], []
-                report = {**self.report(), "cache_added": events}
+                report = {
+                    **self.report(),
+                    "cache_added": events,
+                    "cache_blocks": self.fleet.timing.cached_blocks,
+                }
                 await reply.data(json.dumps(report).encode() + b"\n")
             await asyncio.sleep(REPORT_INTERVAL_S)
         raise AbandonConnection
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -20,9 +20,10 @@
 class Gate:
     """Holds back everything that a paused daemon sends or receives."""
 
-    __slots__ = ("_open",)
+    __slots__ = ("pauses", "_open")
 
     def __init__(self):
+        self.pauses = 0
         self._open = asyncio.Event()
         self._open.set()
 
@@ -33,6 +34,7 @@
 
     def pause(self):
         """Hold everything back from now on."""
+        self.pauses += 1
         self._open.clear()
 
     def resume(self):
