--- /dev/null
+++ b/benchmarks/_capacity.py
@@ -0,0 +1,224 @@
+"""Measures the slopes that docs/CAPACITY.md rests on, and compares them with it."""
+
+import asyncio
+import re
+import time
+import tracemalloc
+from dataclasses import dataclass
+from pathlib import Path
+
+import logbook
+
+from benchmarks._figures import figure, slope
+from benchmarks._groups import _ticket
+from pimentogap.actions._states import ClaimRecord, ClaimTable
+from pimentogap.groups import FleetView, Planner
+from pimentogap.limits import FairQueue
+from pimentogap.peers import Member, MemberStatus, MemberTable
+from pimentogap.routing import PlacementPolicy, Replica
+from pimentogap.schema import check, dump
+from pimentogap.tickets import AcceptedTicket, Configuration
+from pimentogap.types import Assignment, BackendServer, Vm
+
+PAGE = Path("docs/CAPACITY.md")
+LINE = re.compile(r"^\| (?P<name>[a-z_]+) \| (?P<value>[0-9.]+) \|", re.MULTILINE)
+TOLERANCE = 2.0
+REPEATS = 5
+SIZES = (100, 200, 400, 800)
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One measured slope: its name, its value and unit, and how well it fits."""
+
+    name: str
+    value: float
+    unit: str
+    residual_percent: float
+
+
+def run(seed):
+    """Run the benchmark."""
+    logbook.NullHandler().push_application()
+    lines = [
+        _time_line("member_merge_us", "us for each member", _members),
+        _memory_line("member_bytes", "bytes for each member", _members),
+        _time_line("decide_us", "us for each replica looked at", _decide),
+        _memory_line("replica_bytes", "bytes for each replica", _replicas),
+        _time_line("plan_us", "us for three plans of each VM", _plan),
+        _time_line(
+            "assignment_check_us", "us for each VM assigned", _check_assignments
+        ),
+        _memory_line("claim_bytes", "bytes for each key kept", _claims),
+        _time_line("claim_load_us", "us for each key loaded", _claims),
+        _time_line("queue_us", "us for each request queued", _queue),
+        _time_line(
+            "configuration_us", "us for five tickets with each item", _configuration
+        ),
+    ]
+    held = {
+        m["name"]: float(m["value"]) for m in LINE.finditer(PAGE.read_text("utf-8"))
+    }
+    stale = 0
+    print(f"{'line':22}{'measured':>12}{'page':>10}  {'residual %':>10}  unit")
+    for line in lines:
+        page = held.get(line.name)
+        ratio = line.value / page if page else float("inf")
+        is_stale = not 1 / TOLERANCE <= ratio <= TOLERANCE
+        stale += is_stale
+        print(
+            f"{line.name:22}{line.value:12.4g}{page or 0:10.4g}  "
+            f"{line.residual_percent:10.2f}  {line.unit}{'  STALE' if is_stale else ''}"
+        )
+    figure("stale_lines", stale, "count")
+    worst = max(line.residual_percent for line in lines)
+    figure("worst_fit_residual_percent", worst, "percent")
+
+
+def _time_line(name, unit, work):
+    points = []
+    for size in SIZES:
+        best = min(_timed(work, size) for _ in range(REPEATS))
+        points.append((size, best * 1e6))
+    gradient, _, residual = slope(points)
+    return Line(name, gradient, unit, residual)
+
+
+def _memory_line(name, unit, work):
+    points = []
+    for size in SIZES:
+        tracemalloc.start()
+        kept = work(size)
+        points.append((size, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
+        del kept
+    gradient, _, residual = slope(points)
+    return Line(name, gradient, unit, residual)
+
+
+def _timed(work, size):
+    began = time.perf_counter()
+    work(size)
+    return time.perf_counter() - began
+
+
+def _member(index):
+    return Member(
+        id=f"daemon-{index}",
+        incarnation=1,
+        sequence=1,
+        status=MemberStatus.ALIVE,
+        peer_address=f"10.0.{index // 250}.{index % 250}:9000",
+        region=f"r-{index % 2}",
+        availability_zone=f"z-{index % 6}",
+    )
+
+
+def _members(size):
+    table = MemberTable(_member(0))
+    for index in range(1, size):
+        table.merge(_member(index))
+    table.neighbours()
+    return table
+
+
+def _replicas(size):
+    replicas = []
+    for index in range(size):
+        server = BackendServer(f"g-{index}/1", "m", "10.0.0.1:1", f"z-{index % 6}", 1)
+        replica = Replica(server)
+        replica.permit(0.0)
+        replica.reported(
+            0.0,
+            running=index % 8,
+            waiting=0,
+            capacity=8,
+            cache_added=[],
+            cache_blocks=4096,
+        )
+        replicas.append(replica)
+    return replicas
+
+
+class _NoRandom:
+    __slots__ = ()
+
+    def sample(self, population, count):
+        """Return the first ``count``."""
+        return population[:count]
+
+
+def _decide(size):
+    replicas = _replicas(size)
+    policy = PlacementPolicy(_NoRandom(), availability_zone="z-0")
+    for _ in range(20):
+        policy.decide(replicas, blocks=[1, 2, 3], now=1.0)
+
+
+def _vms(size):
+    return {
+        f"vm-{i:04d}": Vm(
+            id=f"vm-{i:04d}",
+            incarnation=1,
+            address="10.0.0.1:1",
+            region="r",
+            availability_zone=f"z-{i % 6}",
+            fabric_domain=f"d-{i // 32}",
+        )
+        for i in range(size)
+    }
+
+
+def _planned(size):
+    accepted = AcceptedTicket(1, 0.0, _ticket(size // 20, 16, 0.5))
+    configuration = Configuration().with_ticket(accepted)
+    view = FleetView(now=0.0, vms_by_id=_vms(size))
+    planner = Planner(region="r", configuration=configuration, view=view)
+    planner._loads_at_once = size
+    return planner.plan([], {})
+
+
+def _plan(size):
+    for _ in range(3):
+        _planned(size)
+
+
+_PLANS_BY_SIZE = {}
+_TICKETS_BY_SIZE = {}
+
+
+def _check_assignments(size):
+    if size not in _PLANS_BY_SIZE:
+        _PLANS_BY_SIZE[size] = [dump(assignment) for assignment in _planned(size)]
+    for data in _PLANS_BY_SIZE[size]:
+        check(Assignment, data)
+
+
+def _claims(size):
+    table = ClaimTable()
+    for index in range(size):
+        table.apply(
+            ClaimRecord(f"w|book|key-{index}", f"{index:032x}", 1.0, "/actions/x")
+        )
+    return table
+
+
+def _queue(size):
+    async def fill():
+        queue = FairQueue(1)
+        await queue.enter("w", weight=1.0, priority="batch")
+        entries = [queue._join("w", 1.0, "batch") for _ in range(size)]
+        for _ in entries:
+            queue.leave(0.1)
+
+    asyncio.run(fill())
+
+
+def _configuration(size):
+    if size not in _TICKETS_BY_SIZE:
+        _TICKETS_BY_SIZE[size] = _ticket(size, 16, 0.5)
+    configuration = Configuration()
+    for number in range(1, 6):
+        accepted = AcceptedTicket(number, 0.0, _TICKETS_BY_SIZE[size])
+        configuration = configuration.with_ticket(accepted)
+    return configuration
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -64,6 +64,37 @@
     context.ctl = ctl(context, "submit", path)
 
 
+@then("the report of all daemons shows {objective}")
+def then_report(context, objective):
+    layout = context.deployment.layout
+    addresses = [layout.operator_address(index) for index in range(layout.daemons)]
+    page = context.deployment.folder / "burn.html"
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        assert run_report([*addresses, "--page", str(page)]) == 0
+    shown = [line for line in output.getvalue().splitlines() if objective in line]
+    assert shown and "within budget" in shown[0], output.getvalue()
+    assert objective in page.read_text(encoding="utf-8")
+
+
+@then("every command of the operators' page answers")
+def then_commands(context):
+    status = get_json(context.deployment.layout.operator_address(0), "/status")
+    group = status["groups"][0]
+    for arguments in (
+        ["status"],
+        ["list"],
+        ["show", "1"],
+        ["explain", "ticket", "1"],
+        ["explain", "group", group["group"]],
+        ["explain", "vm", group["vms"][0]],
+        ["actions"],
+        ["key"],
+    ):
+        code, output = ctl(context, *arguments)
+        assert code == 0 and output.startswith("{"), (arguments, code, output)
+
+
 @when("the operator submits an outdated ticket")
 def when_submits_outdated(context):
     ticket = {
--- a/features/whole_path/whole_path.feature
+++ b/features/whole_path/whole_path.feature
@@ -15,6 +15,10 @@
     Then the service ran booking b-1 once
     And a lookup of slots at daemon 1 answers 200
 
+  Scenario: The report and the explanations are there for operators
+    Then the report of all daemons shows tournees-first-token
+    And every command of the operators' page answers
+
   Scenario: The same ticket again, and one that is out of date
     When the operator submits samples/copeaux-armor.yaml
     Then the operators' client exits with 0
--- a/pimentogap/entry/_base.py
+++ b/pimentogap/entry/_base.py
@@ -136,7 +136,8 @@
                 raise Refused(refusal)
 
     def count(self, service, workspace, outcome):
-        """Count a request by its outcome."""
+        """Count a request by its outcome, for metrics and objectives."""
+        self.kernel.get("objectives").outcome(service, workspace, outcome)
         metrics = self.kernel.get("metrics")
         metrics.count(Series("requests", service, workspace, str(outcome)))
 
--- a/pimentogap/entry/_completions.py
+++ b/pimentogap/entry/_completions.py
@@ -65,8 +65,8 @@
             deadline=deadline,
         )
         sink_class = EventSink if body.get("stream") else WholeSink
-        series = (request.service, workspace.name)
-        sink = sink_class(self, clock, self.kernel.get("metrics"), series, began_at)
+        timings = Timings(self.kernel, request.service, workspace.name, began_at)
+        sink = sink_class(self, timings)
         trace = self.kernel.get("traces").begin(
             self.request_id, workspace=workspace.name, service=request.service
         )
@@ -87,34 +87,62 @@
                 return refusal.code
 
 
+class Timings:
+    """Notes when the pieces of an answer come, for metrics and objectives."""
+
+    __slots__ = (
+        "_clock",
+        "_objectives",
+        "_source",
+        "_first_token",
+        "_between",
+        "_last_at",
+        "_has_begun",
+    )
+
+    def __init__(self, kernel, service, workspace, began_at):
+        metrics = kernel.get("metrics")
+        self._clock = kernel.clock
+        self._objectives = kernel.get("objectives")
+        self._source = (service, workspace)
+        self._first_token = metrics.histogram(Series("first_token", service, workspace))
+        self._between = metrics.histogram(Series("between_tokens", service, workspace))
+        self._last_at = began_at
+        self._has_begun = False
+
+    def note(self):
+        """Note that a piece of the answer has come."""
+        now = self._clock.time()
+        seconds, self._last_at = now - self._last_at, now
+        measure, histogram = "between_tokens", self._between
+        if not self._has_begun:
+            self._has_begun = True
+            measure, histogram = "first_token", self._first_token
+        histogram.record_value(max(1, int(seconds * 1e6)))
+        self._objectives.duration(*self._source, measure, seconds)
+
+
 class EventSink:
     """Passes events on to the caller as they are, no faster than it reads."""
 
-    __slots__ = ("_handler", "_clock", "_first_token", "_between", "_last_at")
+    __slots__ = ("_handler", "_timings")
 
-    def __init__(self, handler, clock, metrics, series, began_at):
+    def __init__(self, handler, timings):
         self._handler = handler
-        self._clock = clock
-        self._first_token = metrics.histogram(Series("first_token", *series))
-        self._between = metrics.histogram(Series("between_tokens", *series))
-        self._last_at = began_at
+        self._timings = timings
 
     async def events(self, data):
         """Write whole events; return once the caller's side has taken them."""
-        now = self._clock.time()
-        histogram = self._between
-        if not self._handler._headers_written:
-            histogram = self._first_token
-            self._handler.set_header("Content-Type", "text/event-stream")
-            self._handler.set_header("Cache-Control", "no-store")
-            self._handler.request.connection.stream.set_nodelay(True)
-        histogram.record_value(max(1, int((now - self._last_at) * 1e6)))
-        self._last_at = now
-        if self._handler._headers_written:
-            await self._handler.request.connection.write(data)
-        else:
-            self._handler.write(data)
-            await self._handler.flush()
+        self._timings.note()
+        handler = self._handler
+        if handler._headers_written:
+            await handler.request.connection.write(data)
+            return
+        handler.set_header("Content-Type", "text/event-stream")
+        handler.set_header("Cache-Control", "no-store")
+        handler.request.connection.stream.set_nodelay(True)
+        handler.write(data)
+        await handler.flush()
 
     def finish(self):
         """End the response."""
@@ -134,28 +162,17 @@
 class WholeSink:
     """Collects the events of an answer and writes it as one document."""
 
-    __slots__ = (
-        "_handler",
-        "_clock",
-        "_first_token",
-        "_began_at",
-        "_splitter",
-        "_parts",
-    )
+    __slots__ = ("_handler", "_timings", "_splitter", "_parts")
 
-    def __init__(self, handler, clock, metrics, series, began_at):
+    def __init__(self, handler, timings):
         self._handler = handler
-        self._clock = clock
-        self._first_token = metrics.histogram(Series("first_token", *series))
-        self._began_at = began_at
+        self._timings = timings
         self._splitter = EventSplitter()
         self._parts = []
 
     async def events(self, data):
         """Keep whole events."""
-        if not self._parts:
-            elapsed_s = self._clock.time() - self._began_at
-            self._first_token.record_value(max(1, int(elapsed_s * 1e6)))
+        self._timings.note()
         for event in self._splitter.feed(data):
             if event.startswith(b"id: "):
                 self._parts.append(data_of(event))
--- a/pimentogap/entry/_plain.py
+++ b/pimentogap/entry/_plain.py
@@ -82,9 +82,7 @@
         )
         trace.note("action", key)
         outcome = await asyncio.shield(self.kernel.get("actions").run(call))
-        series = Series("action", service.name, workspace.name)
-        elapsed_s = self.kernel.clock.time() - began_at
-        self.kernel.get("metrics").observe(series, elapsed_s)
+        self._note_duration("action", service, workspace, began_at)
         match outcome:
             case Replied(answer, replayed):
                 self._write_answer(answer, replayed)
@@ -118,9 +116,7 @@
         result = await self.kernel.get("lookups").look_up(
             service, request, timeout_s=self.remaining_s(), trace=trace
         )
-        series = Series("lookup", service.name, workspace.name)
-        elapsed_s = self.kernel.clock.time() - began_at
-        self.kernel.get("metrics").observe(series, elapsed_s)
+        self._note_duration("lookup", service, workspace, began_at)
         match result:
             case Refusal():
                 self.refuse(result)
@@ -132,6 +128,13 @@
                 self.finish(response.body)
                 return "ok"
 
+    def _note_duration(self, measure, service, workspace, began_at):
+        elapsed_s = self.kernel.clock.time() - began_at
+        series = Series(measure, service.name, workspace.name)
+        self.kernel.get("metrics").observe(series, elapsed_s)
+        objectives = self.kernel.get("objectives")
+        objectives.duration(service.name, workspace.name, measure, elapsed_s)
+
     def _target(self, path):
         return f"{path}?{self.request.query}" if self.request.query else path
 
--- a/pimentogap/entry/_service.py
+++ b/pimentogap/entry/_service.py
@@ -33,6 +33,7 @@
         "lookups",
         "metrics",
         "traces",
+        "objectives",
         "peers",
     )
     __slots__ = (
--- a/pimentogap/groups/_service.py
+++ b/pimentogap/groups/_service.py
@@ -39,6 +39,7 @@
 NOTICE_CALL = "groups.notice"
 NOTICE_TIMEOUT_S = 1.0
 DOUBT_DURATION_S = 10.0
+ACCOUNT_LIMIT_S = 5.0
 
 
 class GroupService:
@@ -50,7 +51,7 @@
     """
 
     name = "groups"
-    requires = ("store", "configuration", "peers", "fleet")
+    requires = ("store", "configuration", "peers", "fleet", "objectives")
     __slots__ = (
         "lease",
         "plans_made",
@@ -76,6 +77,7 @@
         "_unwritten",
         "_doubted_at_by_key",
         "_unreachable_vms",
+        "_accounted_at",
     )
 
     def __init__(self, http, *, region):
@@ -99,6 +101,7 @@
         self._unwritten = False
         self._doubted_at_by_key = {}
         self._unreachable_vms = set()
+        self._accounted_at = None
         self._forget_object()
 
     async def start(self, kernel):
@@ -197,10 +200,12 @@
         if self._fence_written != self.lease.fence:
             return
         self._observe(vms_by_id)
+        view = self._view(vms_by_id)
+        self._account(view)
         planner = Planner(
             region=self._region,
             configuration=self._kernel.get("configuration").current,
-            view=self._view(vms_by_id),
+            view=view,
         )
         generations = dict(self._generations)
         planned = planner.plan(list(self._assignments), generations)
@@ -315,6 +320,27 @@
         view.idle = frozenset(a.key for a, h in held if h.running == 0)
         return view
 
+    def _account(self, view):
+        """Add up group downtime and stranded accelerators since the last time."""
+        since, self._accounted_at = self._accounted_at, view.now
+        if since is None or view.now - since > ACCOUNT_LIMIT_S:
+            return
+        configured = self._kernel.get("configuration").current.by_name("model_group")
+        wanted = {g.name for g in configured.values() if g.region == self._region}
+        ready = [a for a in self._assignments if a.key in view.ready]
+        down = wanted - {assignment.group for assignment in ready}
+        busy = {member.id for assignment in ready for member in assignment.vms}
+        stranded = sum(
+            vm.accelerators
+            for vm in view.vms_by_id.values()
+            if vm.region == self._region and vm.id not in busy
+        )
+        elapsed_s = view.now - since
+        self._kernel.get("objectives").account_groups(
+            down_group_s=elapsed_s * len(down),
+            stranded_accelerator_s=elapsed_s * stranded,
+        )
+
     def _quarantines(self, now):
         """Return until when VMs that restarted often are left out of new groups."""
         until_by_vm = {}
--- /dev/null
+++ b/pimentogap/objectives/__init__.py
@@ -0,0 +1,15 @@
+"""Service levels and how fast their budgets burn."""
+
+from pimentogap.objectives._burn import Burning, Window, WithinBudget, judge_burn
+from pimentogap.objectives._counts import MINUTE_S, MinuteCounts
+from pimentogap.objectives._service import ObjectiveService
+
+__all__ = [
+    "MINUTE_S",
+    "Burning",
+    "MinuteCounts",
+    "ObjectiveService",
+    "Window",
+    "WithinBudget",
+    "judge_burn",
+]
--- a/pimentogap/operators/_handlers.py
+++ b/pimentogap/operators/_handlers.py
@@ -167,6 +167,25 @@
         self.answer(200, {"actions": actions})
 
 
+class ObjectivesHandler(OperatorHandler):
+    """Shows what was counted towards the objectives."""
+
+    def get(self):
+        self.answer(200, self.kernel.get("objectives").dump())
+
+
+class DecisionsHandler(OperatorHandler):
+    """Shows the recent decisions on model groups."""
+
+    async def get(self):
+        try:
+            decisions = await self.kernel.get("groups").decisions()
+        except StoreError as error:
+            self.answer(503, {"detail": str(error)})
+            return
+        self.answer(200, {"decisions": [asdict(decision) for decision in decisions]})
+
+
 class MetricsHandler(RequestHandler):
     """Shows the metrics in the usual text format."""
 
--- a/pimentogap/operators/_service.py
+++ b/pimentogap/operators/_service.py
@@ -5,9 +5,11 @@
 from tornado.web import Application
 
 from pimentogap.operators._handlers import (
+    DecisionsHandler,
     ExplainHandler,
     InDoubtHandler,
     MetricsHandler,
+    ObjectivesHandler,
     StatusHandler,
     TicketHandler,
     TicketsHandler,
@@ -32,6 +34,7 @@
         "actions",
         "traces",
         "metrics",
+        "objectives",
     )
     __slots__ = ("_address", "_server")
 
@@ -49,6 +52,8 @@
                 (r"/tickets/(\d+)", TicketHandler, context),
                 (r"/status", StatusHandler, context),
                 (r"/explain/(group|vm|request)/(.+)", ExplainHandler, context),
+                (r"/objectives", ObjectivesHandler, context),
+                (r"/decisions", DecisionsHandler, context),
                 (r"/actions/in-doubt", InDoubtHandler, context),
                 (r"/metrics", MetricsHandler, context),
             ],
--- a/pimentogap/programs/_assembly.py
+++ b/pimentogap/programs/_assembly.py
@@ -8,6 +8,7 @@
 from pimentogap.limits import LimitService
 from pimentogap.lookups import LookupService
 from pimentogap.metrics import MetricService
+from pimentogap.objectives import ObjectiveService
 from pimentogap.operators import OperatorService
 from pimentogap.peers import PeerService
 from pimentogap.routing import RoutingService
@@ -40,6 +41,7 @@
             seeds=settings.peers.seeds,
             incarnation=incarnation,
         ),
+        ObjectiveService(),
         FleetService(),
         GroupService(http, region=daemon.region),
         RoutingService(http),
--- a/pimentogap/tickets/_ticket.py
+++ b/pimentogap/tickets/_ticket.py
@@ -1,5 +1,6 @@
 """Change tickets: numbered, each with the whole new state of what it touches."""
 
+from collections import Counter
 from dataclasses import dataclass
 
 from pimentogap.errors import InvalidDocument
@@ -163,5 +164,5 @@
     keys = ticket.touched_keys()
     if not keys:
         problems.append(Problem("put", None, "nothing", "at least one change"))
-    for key in sorted({key for key in keys if keys.count(key) > 1}):
+    for key in sorted(key for key, count in Counter(keys).items() if count > 1):
         problems.append(Problem("put", None, f"{key} twice", "each item once"))
--- a/pimentogap/tickets/_validate.py
+++ b/pimentogap/tickets/_validate.py
@@ -26,6 +26,7 @@
         *_workspaces(configuration),
         *_groups(configuration, vms_by_id or {}),
         *_names(configuration),
+        *_objectives(configuration),
     ]
 
 
@@ -78,3 +79,16 @@
     for name in configuration.by_name("model_service"):
         if configuration.get("plain_service", name) is not None:
             yield Violation(f"model_service {name}", "a plain_service has that name")
+
+
+def _objectives(configuration):
+    for name, objective in configuration.by_name("objective").items():
+        workspace = configuration.get("workspace", objective.workspace)
+        subject = f"objective {name}"
+        if workspace is None:
+            yield Violation(subject, f"no workspace is called {objective.workspace}")
+        elif objective.service not in workspace.services:
+            rule = f"workspace {workspace.name} does not call {objective.service}"
+            yield Violation(subject, rule)
+        if objective.measure != "availability" and not objective.threshold:
+            yield Violation(subject, f"{objective.measure} needs a threshold")
--- a/pimentogap/types/_configuration.py
+++ b/pimentogap/types/_configuration.py
@@ -153,6 +153,24 @@
     ran: bool = shaped(Flag())
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Objective:
+    """A service level: the share of requests or gaps that are to be good.
+
+    Of ``availability`` a request is good that was answered whole; of the other
+    measures one that took at most ``threshold``.
+    """
+
+    name: str = shaped(name_shape())
+    workspace: str = shaped(name_shape())
+    service: str = shaped(name_shape())
+    measure: str = shaped(
+        Choice(("availability", "first_token", "between_tokens", "lookup", "action"))
+    )
+    threshold: float = shaped(Duration(0, 3600), default=0.0)
+    target: float = shaped(Number("share", 0.5, 0.99999))
+
+
 ITEM_CLASSES_BY_KIND = {
     "workspace": Workspace,
     "model_service": ModelService,
@@ -163,6 +181,7 @@
     "operator": Operator,
     "weight_store": WeightStore,
     "settled_action": SettledAction,
+    "objective": Objective,
 }
 KINDS_BY_ITEM_CLASS = {cls: kind for kind, cls in ITEM_CLASSES_BY_KIND.items()}
 
