Read the VM list and plan only when something changed; shorter reports

Cause: the arithmetic of the capacity page: a list of 690 VMs read twice a second is 276 KB/s where 21 are allowed, and a plan twice a second of 5,440 VMs takes 9 % of a core; a report that names 16 members is 1 KB, 48 KB/s for 24 replicas. Change: the list is read on the condition that it changed; the holder plans on news and every 5 s; reports leave unchanged members out (274 bytes). Surplus groups may be formed in any fabric domain of the region.

--- a/benchmarks/_capacity.py
+++ b/benchmarks/_capacity.py
@@ -1,6 +1,7 @@
 """Measures the slopes that docs/CAPACITY.md rests on, and compares them with it."""
 
 import asyncio
+import json
 import re
 import time
 import tracemalloc
@@ -16,9 +17,10 @@
 from pimentogap.limits import FairQueue
 from pimentogap.peers import Member, MemberStatus, MemberTable
 from pimentogap.routing import PlacementPolicy, Replica
+from pimentogap.routing._service import ReportReceiver, proves_whole
 from pimentogap.schema import check, dump
 from pimentogap.tickets import AcceptedTicket, Configuration
-from pimentogap.types import Assignment, BackendServer, Vm
+from pimentogap.types import AssignedVm, Assignment, BackendServer, Vm
 
 PAGE = Path("docs/CAPACITY.md")
 LINE = re.compile(r"^\| (?P<name>[a-z_]+) \| (?P<value>[0-9.]+) \|", re.MULTILINE)
@@ -45,6 +47,8 @@
         _memory_line("member_bytes", "bytes for each member", _members),
         _time_line("decide_us", "us for each replica looked at", _decide),
         _memory_line("replica_bytes", "bytes for each replica", _replicas),
+        _time_line("report_us", "us for each report of a group of 16 VMs", _reports),
+        Line("report_bytes", len(_report()), "bytes for each unchanged report", 0.0),
         _time_line("plan_us", "us for three plans of each VM", _plan),
         _time_line(
             "assignment_check_us", "us for each VM assigned", _check_assignments
@@ -155,6 +159,51 @@
         policy.decide(replicas, blocks=[1, 2, 3], now=1.0)
 
 
+def _report(**more):
+    report = {
+        "vm": "bzh-lo-f0-0",
+        "incarnation": 3,
+        "group": "redacteur-1",
+        "generation": 17,
+        "model": "redacteur-70b",
+        "version": "v1",
+        "ready": True,
+        "loaded": True,
+        "running": 12,
+        "waiting": 0,
+        "capacity": 16,
+        "cached": ["redacteur-70b/v1"],
+        "cache_added": [],
+        "cache_blocks": 4096,
+        **more,
+    }
+    return json.dumps(report).encode() + b"\n"
+
+
+def _reports(size):
+    vms = [
+        AssignedVm(id=f"vm-{i}", incarnation=1, address="10.0.0.1:1") for i in range(16)
+    ]
+    assignment = Assignment(
+        group="redacteur-1",
+        service="redacteur",
+        model="redacteur-70b",
+        version="v1",
+        generation=17,
+        fabric_domain="bzh-lo-f0",
+        availability_zone="bzh-lo",
+        vms=tuple(vms),
+    )
+    whole = []
+    receiver = ReportReceiver(lambda r: whole.append(proves_whole(r, assignment)))
+    members = [{"id": vm.id, "incarnation": vm.incarnation} for vm in vms]
+    receiver.data_received(_report(members_up=members))
+    line = _report()
+    for _ in range(size):
+        receiver.data_received(line)
+    assert all(whole)
+
+
 def _vms(size):
     return {
         f"vm-{i:04d}": Vm(
--- a/pimentogap/fleet/_service.py
+++ b/pimentogap/fleet/_service.py
@@ -32,6 +32,7 @@
         "versions_by_region",
         "assignments_by_server_id",
         "_leaving_incarnations_by_vm",
+        "_listed",
         "_kernel",
         "_subscribers",
     )
@@ -43,6 +44,7 @@
         self.versions_by_region = {}
         self.assignments_by_server_id = {}
         self._leaving_incarnations_by_vm = {}
+        self._listed = None
         self._kernel = None
         self._subscribers = []
 
@@ -112,8 +114,11 @@
         :raises StoreUnavailable: if the store does not answer.
         """
         listed = await self._kernel.get("store").vms()
-        self.vms_by_id = {data["id"]: check(Vm, data) for data in listed}
         self.vms_read_at = self._kernel.clock.time()
+        if listed is self._listed:
+            return self.vms_by_id
+        self._listed = listed
+        self.vms_by_id = {data["id"]: check(Vm, data) for data in listed.vms}
         for vm in self.vms_by_id.values():
             if vm.state == VmState.LEAVING:
                 entry = VmLeaving(vm.id, vm.incarnation)
--- a/pimentogap/groups/_planner.py
+++ b/pimentogap/groups/_planner.py
@@ -387,8 +387,6 @@
             size = service.vms_per_group
             spares = math.ceil(service.downtime_weight * size)
             for domain in sorted(self._free_by_domain):
-                if not self._serves_in(service, domain):
-                    continue
                 index = 0
                 while len(self._free_by_domain[domain]) >= size + spares:
                     if self._loading >= self._loads_at_once:
@@ -400,11 +398,6 @@
                     seen = f"{len(self._free_by_domain[domain])} VMs are free"
                     self._assign(name, service, domain, (), Action.FORM, seen)
 
-    def _serves_in(self, service, domain):
-        return any(
-            a.service == service.name and a.fabric_domain == domain for a in self._kept
-        )
-
     def _decide(self, group, action, seen, chosen, rejected=(), vms=()):
         self.decisions.append(
             PlanDecision(group, action, seen, chosen, tuple(rejected), tuple(vms))
--- a/pimentogap/groups/_service.py
+++ b/pimentogap/groups/_service.py
@@ -1,6 +1,7 @@
 """The service that keeps model groups whole."""
 
 import asyncio
+import math
 from collections import deque
 
 from logbook import Logger
@@ -40,6 +41,7 @@
 NOTICE_TIMEOUT_S = 1.0
 DOUBT_DURATION_S = 10.0
 ACCOUNT_LIMIT_S = 5.0
+PLAN_INTERVAL_S = 5.0
 
 
 class GroupService:
@@ -78,6 +80,7 @@
         "_doubted_at_by_key",
         "_unreachable_vms",
         "_accounted_at",
+        "_planned_at",
     )
 
     def __init__(self, http, *, region):
@@ -102,6 +105,7 @@
         self._doubted_at_by_key = {}
         self._unreachable_vms = set()
         self._accounted_at = None
+        self._planned_at = -math.inf
         self._forget_object()
 
     async def start(self, kernel):
@@ -183,17 +187,20 @@
             try:
                 async with self._kernel.clock.timeout(CONTROL_INTERVAL_S):
                     await self._noticed.wait()
+                noticed = True
             except TimeoutError:
-                pass
+                noticed = False
             self._noticed.clear()
             if self.lease.valid() and self._kernel.get("configuration").loaded:
                 try:
-                    await self._control_once()
+                    await self._control_once(noticed)
                 except StoreError as error:
                     log.debug("control waits for the store: {}", error)
                     await self._kernel.clock.sleep(CONTROL_INTERVAL_S)
 
-    async def _control_once(self):
+    async def _control_once(self, noticed):
+        """Read the VM list and plan, unless nothing can have changed."""
+        vms_before = self._kernel.get("fleet").vms_by_id
         vms_by_id = await self._kernel.get("fleet").read_vms()
         if self._fence_written != self.lease.fence:
             await self._take_over()
@@ -202,6 +209,9 @@
         self._observe(vms_by_id)
         view = self._view(vms_by_id)
         self._account(view)
+        if not noticed and vms_by_id is vms_before and self._may_rest(view):
+            return
+        self._planned_at = view.now
         planner = Planner(
             region=self._region,
             configuration=self._kernel.get("configuration").current,
@@ -320,6 +330,13 @@
         view.idle = frozenset(a.key for a, h in held if h.running == 0)
         return view
 
+    def _may_rest(self, view):
+        """Return whether no plan is due: all is settled and the last one is recent."""
+        waiting = self._absent_since_by_vm or self._draining_since_by_key
+        all_ready = len(view.ready) == len(self._assignments)
+        recent = view.now - self._planned_at < PLAN_INTERVAL_S
+        return recent and all_ready and not waiting and not view.doubted
+
     def _account(self, view):
         """Add up group downtime and stranded accelerators since the last time."""
         since, self._accounted_at = self._accounted_at, view.now
--- a/pimentogap/routing/_service.py
+++ b/pimentogap/routing/_service.py
@@ -152,7 +152,7 @@
         """Read the reports of one model group for as long as it is wanted."""
         request = HttpRequest("GET", REPORTS_PATH)
         while True:
-            receiver = _ReportReceiver(lambda report: self._take(replica, report))
+            receiver = ReportReceiver(lambda report: self._take(replica, report))
             try:
                 await self._http.exchange(replica.server.address, request, receiver)
             except (ConnectionFailed, ResponseLost) as error:
@@ -162,7 +162,7 @@
 
     def _take(self, replica, report):
         assignment = self._assignment(replica.server)
-        if assignment is None or not _proves_whole(report, assignment):
+        if assignment is None or not proves_whole(report, assignment):
             self._lose_permission(replica)
             return
         replica.reported(
@@ -185,32 +185,45 @@
             groups.notice(replica.server.id)
 
 
-class _ReportReceiver:
-    """Splits a stream of JSON lines into reports."""
+class ReportReceiver:
+    """Splits a stream of JSON lines into reports.
 
-    __slots__ = ("_take", "_rest")
+    A report that leaves ``members_up`` out has the same as the one before.
+    """
+
+    __slots__ = ("_take", "_rest", "_members_up")
 
     def __init__(self, take):
         self._take = take
         self._rest = b""
+        self._members_up = []
 
     def headers_received(self, status, headers):
+        """Check that reports will follow.
+
+        :raises ResponseLost: if they will not.
+        """
         if status != 200:
             raise ResponseLost(f"status {status}")
 
     def data_received(self, chunk):
+        """Take in the reports that ``chunk`` completes.
+
+        :raises ResponseLost: if it holds something else.
+        """
         *lines, self._rest = (self._rest + chunk).split(b"\n")
         if len(self._rest) > MAX_REPORT_BYTES:
             raise ResponseLost("a report is too long")
         for line in lines:
             try:
                 report = json.loads(line)
-            except ValueError:
-                raise ResponseLost("a report is not JSON")
+                self._members_up = report.setdefault("members_up", self._members_up)
+            except (ValueError, AttributeError):
+                raise ResponseLost("a report is not a JSON object")
             self._take(report)
 
 
-def _proves_whole(report, assignment):
+def proves_whole(report, assignment):
     """Return whether ``report`` shows every assigned VM up and the model loaded."""
     if (report["group"], report["generation"]) != assignment.key:
         return False
--- a/pimentogap/store/__init__.py
+++ b/pimentogap/store/__init__.py
@@ -11,6 +11,7 @@
     Put,
     Stored,
     Unsettled,
+    VmList,
     Watch,
     Written,
 )
@@ -33,6 +34,7 @@
     "StoreClient",
     "Stored",
     "Unsettled",
+    "VmList",
     "Watch",
     "Written",
     "object_name",
--- a/pimentogap/store/_calls.py
+++ b/pimentogap/store/_calls.py
@@ -50,7 +50,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ListVms:
-    """Read the platform's list of VMs, which lags."""
+    """Read the platform's list of VMs, which lags, unless it is still ``tag``."""
+
+    tag: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """The platform's list of VMs as plain data, and the tag that names it."""
+
+    tag: str
+    vms: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class Unchanged:
+    """The list of VMs is still the one that the call named."""
+
+
 @dataclass(frozen=True, slots=True)
 class Written:
     """The write took effect and gave the object this version."""
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -10,6 +10,7 @@
     NotWritten,
     Put,
     Unsettled,
+    VmList,
     Watch,
     Written,
 )
@@ -64,6 +65,7 @@
         "calls_by_kind",
         "last_answer_at",
         "_timeout_s",
+        "_vm_list",
     )
 
     def __init__(self, transport, *, timeout_s=CALL_TIMEOUT_S):
@@ -78,6 +80,7 @@
         self._breaker = None
         self.calls_by_kind = {}
         self.last_answer_at = None
+        self._vm_list = VmList("", ())
 
     async def start(self, kernel):
         """Take the clock and the random numbers of ``kernel``."""
@@ -109,8 +112,11 @@
             after = page.items[-1].name
 
     async def vms(self):
-        """Return the platform's list of VMs as plain data."""
-        return await self._read(ListVms())
+        """Return the platform's `VmList`; the same object while it is unchanged."""
+        match await self._read(ListVms(self._vm_list.tag)):
+            case VmList() as newer:
+                self._vm_list = newer
+        return self._vm_list
 
     async def watch(self, collection, revision, wait_s):
         """Return the changes after ``revision``, waiting up to ``wait_s`` for one.
--- a/pimentogap/store/_http.py
+++ b/pimentogap/store/_http.py
@@ -20,12 +20,15 @@
     Page,
     Put,
     Stored,
+    Unchanged,
+    VmList,
     Watch,
     Written,
 )
 from pimentogap.web import HttpRequest
 
 NOT_CARRIED_OUT_STATUSES = (429, 503)
+NOT_MODIFIED_STATUS = 304
 WATCH_GRACE_S = 2.0
 
 
@@ -52,6 +55,8 @@
             )
             if response.status in NOT_CARRIED_OUT_STATUSES:
                 raise StoreUnavailable(f"the store answered {response.status}")
+            if response.status == NOT_MODIFIED_STATUS:
+                return Unchanged()
             return decode(call, response.status, response.json())
         except ConnectionFailed as error:
             raise StoreUnavailable(str(error))
@@ -81,8 +86,9 @@
         case Watch(collection, revision, wait_s):
             query = urlencode({"from": revision, "wait": wait_s})
             return HttpRequest("GET", f"/v1/watch/{collection}?{query}")
-        case ListVms():
-            return HttpRequest("GET", "/v1/vms")
+        case ListVms(tag):
+            condition = {"If-None-Match": tag} if tag else {}
+            return HttpRequest("GET", "/v1/vms", condition)
 
 
 def decode(call, status, data):
@@ -103,7 +109,7 @@
         case Watch(), 410:
             raise WatchCompacted(data.get("detail", ""))
         case ListVms(), 200:
-            return tuple(data["vms"])
+            return VmList(data["tag"], tuple(data["vms"]))
     raise StoreError(f"the store answered {status} to {call}")
 
 
--- a/standins/_engines.py
+++ b/standins/_engines.py
@@ -289,6 +289,7 @@
 
     async def _stream_reports(self, reply):
         reply.start(200, {"Content-Type": "application/jsonl"})
+        members_sent = None
         while self.up:
             if not self.frozen:
                 events, self._events = self._events[-64:], []
@@ -297,6 +298,10 @@
                     "cache_added": events,
                     "cache_blocks": self.fleet.timing.cached_blocks,
                 }
+                if report["members_up"] == members_sent:
+                    del report["members_up"]
+                else:
+                    members_sent = report["members_up"]
                 await reply.data(json.dumps(report).encode() + b"\n")
             await asyncio.sleep(REPORT_INTERVAL_S)
         raise AbandonConnection
--- a/standins/_platform.py
+++ b/standins/_platform.py
@@ -130,10 +130,16 @@
             case ["GET", "v1", "watch", collection]:
                 return await self._watch(collection, query)
             case ["GET", "v1", "vms"]:
-                self._count("vms")
-                return 200, {"vms": list(self._vms)}
+                return self._list_vms(request)
         return 404, {}
 
+    def _list_vms(self, request):
+        self._count("vms")
+        tag = f"vms-{self._vms_shown}"
+        if _header(request, "if-none-match") == tag:
+            return 304, {}
+        return 200, {"tag": tag, "vms": list(self._vms)}
+
     def _get(self, collection, name):
         self._count("get")
         stored = self.objects_by_collection.get(collection, {}).get(name)
@@ -232,10 +238,16 @@
 
 
 def _expected_version(request):
-    headers = {name.lower(): value for name, value in request.headers.items()}
-    if headers.get("if-none-match") == "*":
+    if _header(request, "if-none-match") == "*":
         return 0
-    return int(headers.get("if-match", '"-1"').strip('"'))
+    return int((_header(request, "if-match") or '"-1"').strip('"'))
+
+
+def _header(request, wanted):
+    for name, value in request.headers.items():
+        if name.lower() == wanted:
+            return value
+    return None
 
 
 def _plain(stored):
@@ -243,6 +255,9 @@
 
 
 async def _answer(reply, status, data):
+    if status == 304:
+        reply.start(status, {})
+        return
     body = json.dumps(data, separators=(",", ":")).encode()
     reply.start(status, {"Content-Length": str(len(body))})
     await reply.data(body)
