--- a/benchmarks/_capacity.py
+++ b/benchmarks/_capacity.py
@@ -1,6 +1,7 @@
 """Measures the slopes that docs/CAPACITY.md rests on, and compares them with it."""
 
 import asyncio
+import gc
 import json
 import re
 import time
@@ -25,8 +26,8 @@
 PAGE = Path("docs/CAPACITY.md")
 LINE = re.compile(r"^\| (?P<name>[a-z_]+) \| (?P<value>[0-9.]+) \|", re.MULTILINE)
 TOLERANCE = 2.0
-REPEATS = 5
-SIZES = (100, 200, 400, 800)
+REPEATS = 15
+SIZES = (200, 400, 800, 1600)
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,7 @@
     lines = [
         _time_line("member_merge_us", "us for each member", _members),
         _memory_line("member_bytes", "bytes for each member", _members),
-        _time_line("decide_us", "us for each replica looked at", _decide),
+        _time_line("decide_us", "us for each replica, 20 decisions", _decide),
         _memory_line("replica_bytes", "bytes for each replica", _replicas),
         _time_line("report_us", "us for each report of a group of 16 VMs", _reports),
         Line("report_bytes", len(_report()), "bytes for each unchanged report", 0.0),
@@ -101,9 +102,13 @@
 
 
 def _timed(work, size):
+    gc.collect()
+    gc.disable()
     began = time.perf_counter()
     work(size)
-    return time.perf_counter() - began
+    elapsed_s = time.perf_counter() - began
+    gc.enable()
+    return elapsed_s
 
 
 def _member(index):
