Split the peers' service by job, and follow the store by one loop

Change: sessions' state, direct polls and the relay are modules of their own; one loop follows a collection for both.

--- a/pimentogap/fleet/_service.py
+++ b/pimentogap/fleet/_service.py
@@ -2,10 +2,11 @@
 
 from logbook import Logger
 
-from pimentogap.errors import InvalidDocument, StoreError, WatchCompacted
+from pimentogap.errors import InvalidDocument, StoreError
 from pimentogap.kernel import RestartOnError
 from pimentogap.peers import VmLeaving
 from pimentogap.schema import check
+from pimentogap.store import follow_collection
 from pimentogap.types import Assignment, BackendServer, Vm, VmState
 
 log = Logger("fleet")
@@ -13,7 +14,6 @@
 ASSIGNMENTS = "assignments"
 VM_LIST_INTERVAL_S = 0.5
 WATCH_WAIT_S = 2.0
-RETRY_DELAY_S = 0.5
 
 
 class FleetService:
@@ -138,19 +138,11 @@
             await self._kernel.clock.sleep(VM_LIST_INTERVAL_S)
 
     async def _follow_assignments(self):
-        revision = None
-        while True:
-            if not self._kernel.get("peers").is_watcher():
-                revision = None
-                await self._kernel.clock.sleep(RETRY_DELAY_S)
-                continue
-            try:
-                revision = await self._watch_once(revision)
-            except WatchCompacted:
-                revision = None
-            except StoreError as error:
-                log.debug("the assignments are not read: {}", error)
-                await self._kernel.clock.sleep(RETRY_DELAY_S)
+        await follow_collection(
+            self._kernel.clock,
+            self._watch_once,
+            is_wanted=self._kernel.get("peers").is_watcher,
+        )
 
     async def _watch_once(self, revision):
         store = self._kernel.get("store")
--- a/pimentogap/peers/_service.py
+++ b/pimentogap/peers/_service.py
@@ -1,15 +1,12 @@
 """The service that keeps sessions with other daemons and passes on what is new."""
 
 import asyncio
-import math
-from dataclasses import dataclass
 
 from logbook import Logger
 
 from pimentogap.errors import (
     PeerRefused,
     PeerUnreachable,
-    ResponseLost,
     SnapshotDamaged,
 )
 from pimentogap.kernel import RestartOnError
@@ -28,9 +25,10 @@
     VmLeaving,
 )
 from pimentogap.peers._membership import MemberTable
+from pimentogap.peers._polling import FleetPoll
+from pimentogap.peers._session import PeerSession
 from pimentogap.tickets import (
     Configuration,
-    Reach,
     dump_accepted,
     load_accepted,
 )
@@ -45,65 +43,6 @@
 PROBE_INTERVAL_S = 2.0
 FORGET_DEAD_S = 6 * 3600.0
 MAX_TICKETS_SENT = 200
-STATUS_CALL = "peers.status"
-INTENT_CALL = "peers.intent"
-ASK_TIMEOUT_S = 1.0
-POLL_INTERVAL_S = 1.0
-POLL_AFTER_S = 2.0
-POLL_VALID_S = 3.0
-
-
-@dataclass(frozen=True, slots=True)
-class ReachPoll:
-    """When the fleet was last asked directly, and who answered."""
-
-    asked_at: float
-    reach: Reach
-
-
-class PeerSession:
-    """One open session: what waits to be sent, and when the other last spoke.
-
-    ``due_by_member`` holds records that may wait for the next ping; one that the
-    other side sends meanwhile need not be sent to it.
-    """
-
-    __slots__ = (
-        "peer_id",
-        "outbox",
-        "due_by_member",
-        "wake",
-        "last_pong_at",
-        "pings_sent_by_number",
-    )
-
-    def __init__(self):
-        self.peer_id = None
-        self.outbox = []
-        self.due_by_member = {}
-        self.wake = asyncio.Event()
-        self.last_pong_at = None
-        self.pings_sent_by_number = {}
-
-    def post(self, entry):
-        """Queue ``entry`` for the next frame, which is sent at once."""
-        self.outbox.append(entry)
-        self.wake.set()
-
-    def post_with_ping(self, member):
-        """Queue a record of a daemon for the frame of the next ping."""
-        self.due_by_member[member.id] = member
-
-    def heard(self, member):
-        """Note that the other side knows ``member``."""
-        due = self.due_by_member.get(member.id)
-        if due is not None and due.newness() <= member.newness():
-            del self.due_by_member[member.id]
-
-    def take_due(self):
-        """Move what waited for the ping into the next frame."""
-        self.outbox.extend(self.due_by_member.values())
-        self.due_by_member.clear()
 
 
 class PeerService:
@@ -159,16 +98,15 @@
         self._next_ping = 0
         self._object_subscribers = []
         self._leaving_subscribers = []
-        self._call_handlers_by_service = {
-            STATUS_CALL: self._answer_status,
-            INTENT_CALL: self._answer_intent,
-        }
+        self._call_handlers_by_service = {}
         self._learning_from = None
-        self._poll = ReachPoll(-math.inf, Reach(1, 1))
+        self._poll = None
 
     async def start(self, kernel):
         """Listen, and begin to keep sessions with the neighbours."""
         self._kernel = kernel
+        self._poll = FleetPoll(kernel, self.table, self._transport)
+        self._call_handlers_by_service.update(self._poll.handlers_by_service())
         configuration = kernel.get("configuration")
         configuration.subscribe(self._configuration_changed)
         self._renew_own(applied=True)
@@ -179,7 +117,7 @@
             kernel.spawn(self.name, self._join_by, seed, on_error=RestartOnError())
         kernel.spawn(self.name, self._maintain, on_error=RestartOnError())
         kernel.spawn(self.name, self._probe_unreachable, on_error=RestartOnError())
-        kernel.spawn(self.name, self._poll_fleet, on_error=RestartOnError())
+        kernel.spawn(self.name, self._poll.run, on_error=RestartOnError())
 
     async def stop(self):
         """Tell the neighbours that the daemon leaves, and close."""
@@ -196,29 +134,15 @@
         return self.table.reach()
 
     def polled_reach(self):
-        """Return the `Reach` that direct answers prove; stale ones prove nothing."""
-        age_s = self._kernel.clock.time() - self._poll.asked_at
-        known = self.table.reach().known
-        return self._poll.reach if age_s <= POLL_VALID_S else Reach(known, 1)
+        """Return the `Reach` that recent direct answers prove."""
+        return self._poll.reach()
 
     async def gather_majority(self, revision):
         """Tell the fleet that ``revision`` is about to be written.
 
         :return: whether more than half of the known daemons have noted it.
         """
-        asked = [
-            self._ask(member, INTENT_CALL, {"revision": revision})
-            for member in self._others()
-        ]
-        known = self.table.reach().known
-        noted = 1
-        if Reach(known, noted).majority:
-            return True
-        for answer in asyncio.as_completed(asked):
-            noted += await answer is not None
-            if Reach(known, noted).majority:
-                return True
-        return False
+        return await self._poll.gather_majority(revision)
 
     def is_watcher(self):
         """Return whether this daemon follows the store for its availability zone."""
@@ -543,61 +467,6 @@
                     until=lambda: self._kernel.clock.time() >= deadline,  # noqa: B023
                 )
 
-    async def _poll_fleet(self):
-        """Ask every daemon directly while the store does not confirm the revision.
-
-        A daemon without a configuration may trust the newest revision that more
-        than half of the others know: every ticket in force is among theirs. One
-        with a configuration learns whether half of the fleet is in reach, and
-        whether any of it has heard of a newer ticket.
-        """
-        configuration = self._kernel.get("configuration")
-        while True:
-            await self._kernel.clock.sleep(self._jittered(POLL_INTERVAL_S))
-            if configuration.loaded and configuration.confirmed_age() < POLL_AFTER_S:
-                continue
-            asked_at = self._kernel.clock.time()
-            others = self._others()
-            answers = await asyncio.gather(
-                *(self._ask(member, STATUS_CALL, {}) for member in others)
-            )
-            known = self.table.reach().known
-            heard = [answer for answer in answers if answer is not None]
-            for answer in heard:
-                configuration.heard(answer["newest_heard"])
-            self._poll = ReachPoll(asked_at, Reach(known, 1 + len(heard)))
-            loaded = [answer["newest_heard"] for answer in heard if answer["loaded"]]
-            if loaded and len(loaded) * 2 > known - 1:
-                configuration.trust_from(max(loaded))
-
-    def _others(self):
-        return [
-            member
-            for member in self.table.members_by_id.values()
-            if member.id != self.table.own_id and member.status != MemberStatus.LEFT
-        ]
-
-    async def _ask(self, member, service, body):
-        """Return the plain answer of a daemon, or ``None`` if there is none."""
-        try:
-            return await self._transport.call(
-                member.peer_address, service, body, timeout_s=ASK_TIMEOUT_S
-            )
-        except (PeerUnreachable, ResponseLost) as error:
-            log.debug("{} does not answer {}: {}", member.id, service, error)
-            return None
-
-    async def _answer_status(self, body):
-        configuration = self._kernel.get("configuration")
-        return {
-            "newest_heard": configuration.newest_heard,
-            "loaded": configuration.loaded,
-        }
-
-    async def _answer_intent(self, body):
-        self._kernel.get("configuration").heard(body["revision"])
-        return {}
-
     async def _answer_call(self, service, body):
         handler = self._call_handlers_by_service.get(service)
         if handler is None:
--- a/pimentogap/store/__init__.py
+++ b/pimentogap/store/__init__.py
@@ -16,6 +16,7 @@
     Written,
 )
 from pimentogap.store._client import StoreClient
+from pimentogap.store._follow import follow_collection
 from pimentogap.store._http import HttpTransport
 from pimentogap.store._snapshots import Snapshot, SnapshotCollection, object_name
 
@@ -37,5 +38,6 @@
     "VmList",
     "Watch",
     "Written",
+    "follow_collection",
     "object_name",
 ]
--- a/pimentogap/tickets/_service.py
+++ b/pimentogap/tickets/_service.py
@@ -5,9 +5,15 @@
 
 from logbook import Logger
 
-from pimentogap.errors import StoreError, StoreUnavailable, WatchCompacted
+from pimentogap.errors import StoreError, StoreUnavailable
 from pimentogap.kernel import RestartOnError
-from pimentogap.store import Conflict, NotWritten, Unsettled, Written
+from pimentogap.store import (
+    Conflict,
+    NotWritten,
+    Unsettled,
+    Written,
+    follow_collection,
+)
 from pimentogap.tickets._configuration import Configuration
 from pimentogap.tickets._decide import Accept, decide
 from pimentogap.tickets._freshness import CURRENT_LIMIT_S, Current, Reach, judge
@@ -18,8 +24,7 @@
 log = Logger("tickets")
 
 WATCH_WAIT_S = 1.0
-FOLLOW_RETRY_S = 0.25
-FOLLOWER_CHECK_S = 0.5
+SNAPSHOT_CHECK_S = 0.5
 RECENT_TICKETS = 500
 INTENT_LIFETIME_S = 10.0
 
@@ -213,19 +218,9 @@
             self.learn(accepted)
 
     async def _follow_store(self):
-        revision = None
-        while True:
-            if not self._is_watcher():
-                revision = None
-                await self._kernel.clock.sleep(FOLLOWER_CHECK_S)
-                continue
-            try:
-                revision = await self._watch_once(revision)
-            except WatchCompacted:
-                revision = None
-            except StoreError as error:
-                log.debug("the store's watch failed: {}", error)
-                await self._kernel.clock.sleep(FOLLOW_RETRY_S)
+        await follow_collection(
+            self._kernel.clock, self._watch_once, is_wanted=self._is_watcher
+        )
 
     async def _watch_once(self, revision):
         store = self._kernel.get("store")
@@ -254,7 +249,7 @@
     async def _keep_snapshots(self):
         written = self.current.revision
         while True:
-            await self._kernel.clock.sleep(FOLLOWER_CHECK_S)
+            await self._kernel.clock.sleep(SNAPSHOT_CHECK_S)
             due = self.current.revision >= written + SNAPSHOT_EVERY_TICKETS
             if due and self._is_watcher():
                 written = self.current.revision
