Split the group controller by job

Cause: the controller's service had grown to over 500 lines: control, observation and records in one.

--- a/pimentogap/groups/_service.py
+++ b/pimentogap/groups/_service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-from collections import deque
 
 from logbook import Logger
 
@@ -15,10 +14,11 @@
     StoreError,
 )
 from pimentogap.fleet import ASSIGNMENTS
-from pimentogap.groups._decisions import Action, Decision, dump_decision, load_decision
+from pimentogap.groups._journal import DecisionJournal
 from pimentogap.groups._lease import RENEW_INTERVAL_S, Lease
+from pimentogap.groups._observations import Observations
 from pimentogap.groups._orders import Assume, OrderClient, Release
-from pimentogap.groups._planner import QUARANTINE_S, FleetView, Planner
+from pimentogap.groups._planner import Planner
 from pimentogap.kernel import RestartOnError
 from pimentogap.schema import check, dump
 from pimentogap.store import Put, Written
@@ -26,20 +26,14 @@
 
 log = Logger("groups")
 
-DECISIONS = "decisions"
 CONTROL_INTERVAL_S = 0.5
 ORDER_LIFETIME_S = 3.0
 UNSETTLED_READ_S = 0.5
 HEAD_READ_S = 5.0
 MEMBER_READ_S = 30.0
-DECISIONS_KEPT = 300
-DECISIONS_WRITE_INTERVAL_S = 1.0
 WRITE_GIVE_UP_S = 2.0
-LOSSES_BEFORE_QUARANTINE = 3
-LOSS_WINDOW_S = 300.0
 NOTICE_CALL = "groups.notice"
 NOTICE_TIMEOUT_S = 1.0
-DOUBT_DURATION_S = 10.0
 ACCOUNT_LIMIT_S = 5.0
 PLAN_INTERVAL_S = 5.0
 
@@ -60,25 +54,16 @@
         "_kernel",
         "_region",
         "_orders",
+        "_journal",
+        "_observations",
         "_version",
         "_fence_written",
         "_taken_at",
         "_assignments",
         "_generations",
-        "_decisions",
-        "_last_chosen_by_group",
-        "_holdings_by_vm",
         "_tasks_by_vm",
         "_wake_by_vm",
-        "_absent_since_by_vm",
-        "_draining_since_by_key",
-        "_incarnations_by_vm",
-        "_losses_by_vm",
         "_noticed",
-        "_next_decision",
-        "_unwritten",
-        "_doubted_at_by_key",
-        "_unreachable_vms",
         "_accounted_at",
         "_planned_at",
     )
@@ -90,20 +75,11 @@
         self._kernel = None
         self._region = region
         self._orders = OrderClient(http)
-        self._decisions = deque(maxlen=DECISIONS_KEPT)
-        self._last_chosen_by_group = {}
-        self._holdings_by_vm = {}
+        self._journal = None
+        self._observations = Observations()
         self._tasks_by_vm = {}
         self._wake_by_vm = {}
-        self._absent_since_by_vm = {}
-        self._draining_since_by_key = {}
-        self._incarnations_by_vm = {}
-        self._losses_by_vm = {}
         self._noticed = asyncio.Event()
-        self._next_decision = 0
-        self._unwritten = False
-        self._doubted_at_by_key = {}
-        self._unreachable_vms = set()
         self._accounted_at = None
         self._planned_at = -math.inf
         self._forget_object()
@@ -118,11 +94,12 @@
             object_name=f"groups-{self._region}",
             own_id=f"{own.id}/{own.incarnation}",
         )
+        self._journal = DecisionJournal(kernel, self._region, self.lease)
         kernel.get("peers").answer_calls(NOTICE_CALL, self._answer_notice)
         kernel.get("configuration").subscribe(lambda accepted: self._noticed.set())
         kernel.spawn(self.name, self._keep_lease, on_error=RestartOnError())
         kernel.spawn(self.name, self._control, on_error=RestartOnError())
-        kernel.spawn(self.name, self._write_decisions, on_error=RestartOnError())
+        kernel.spawn(self.name, self._journal.run, on_error=RestartOnError())
 
     async def stop(self):
         """Give the lease up."""
@@ -147,15 +124,12 @@
 
         :raises StoreUnavailable: if the store does not answer.
         """
-        stored = await self._kernel.get("store").get(DECISIONS, self._region)
-        return [load_decision(data) for data in stored.value] if stored else []
+        return await self._journal.read()
 
     def _doubt(self, server_id):
         if not self.lease.valid():
             return
-        group, _, generation = server_id.rpartition("/")
-        now = self._kernel.clock.time()
-        self._doubted_at_by_key[group, int(generation)] = now
+        self._observations.doubt(server_id, self._kernel.clock.time())
         for wake in self._wake_by_vm.values():
             wake.set()
         self._noticed.set()
@@ -206,8 +180,10 @@
             await self._take_over()
         if self._fence_written != self.lease.fence:
             return
-        self._observe(vms_by_id)
-        view = self._view(vms_by_id)
+        now = self._kernel.clock.time()
+        self._observations.update(vms_by_id, self._assignments, now)
+        leaving = self._leaving_vms(vms_by_id)
+        view = self._observations.view(vms_by_id, self._assignments, leaving, now)
         self._account(view)
         if not noticed and vms_by_id is vms_before and self._may_rest(view):
             return
@@ -220,7 +196,7 @@
         generations = dict(self._generations)
         planned = planner.plan(list(self._assignments), generations)
         self.plans_made += 1
-        self._record(planner.decisions)
+        self._journal.record(planner.decisions)
         if planned != self._assignments:
             await self._commit(planned, generations)
         self._keep_vm_tasks(vms_by_id)
@@ -235,8 +211,7 @@
         self._version = stored.version if stored else 0
         self._assignments = [check(Assignment, a) for a in value["assignments"]]
         self._generations = dict(value["generations"])
-        self._decisions.clear()
-        self._decisions.extend(await self.decisions())
+        await self._journal.take_over()
         if await self._commit(self._assignments, self._generations):
             self._fence_written = self.lease.fence
             self._taken_at = self._kernel.clock.time()
@@ -276,66 +251,20 @@
         for wake in self._wake_by_vm.values():
             wake.set()
 
-    def _observe(self, vms_by_id):
-        """Note absences, restarts and drains, which the plan's delays count from."""
-        now = self._kernel.clock.time()
-        members = {m.id for a in self._assignments for m in a.vms}
-        for vm_id in members:
-            if vm_id in vms_by_id:
-                self._absent_since_by_vm.pop(vm_id, None)
-            else:
-                self._absent_since_by_vm.setdefault(vm_id, now)
-        for vm in vms_by_id.values():
-            known = self._incarnations_by_vm.get(vm.id)
-            if known is not None and known < vm.incarnation:
-                losses = self._losses_by_vm.setdefault(vm.id, deque(maxlen=8))
-                losses.append(now)
-            self._incarnations_by_vm[vm.id] = vm.incarnation
-        present = {assignment.key for assignment in self._assignments}
-        for key in set(self._doubted_at_by_key) - present:
-            del self._doubted_at_by_key[key]
-        draining = {a.key for a in self._assignments if a.draining}
-        for key in draining:
-            self._draining_since_by_key.setdefault(key, now)
-        for key in set(self._draining_since_by_key) - draining:
-            del self._draining_since_by_key[key]
-
-    def _view(self, vms_by_id):
-        view = FleetView(now=self._kernel.clock.time(), vms_by_id=vms_by_id)
+    def _leaving_vms(self, vms_by_id):
         fleet = self._kernel.get("fleet")
-        view.leaving_vms = frozenset(
+        return frozenset(
             vm.id
             for vm in vms_by_id.values()
             if fleet.is_leaving(vm.id, vm.incarnation)
         )
-        view.absent_since_by_vm = self._absent_since_by_vm
-        view.draining_since_by_key = self._draining_since_by_key
-        view.quarantined_until_by_vm = self._quarantines(view.now)
-        view.doubted = frozenset(
-            key
-            for key, at in self._doubted_at_by_key.items()
-            if view.now - at < DOUBT_DURATION_S
-        )
-        view.unreachable_vms = frozenset(self._unreachable_vms)
-        view.cached_by_vm = {
-            vm_id: holding.cached for vm_id, holding in self._holdings_by_vm.items()
-        }
-        heads = [(a, self._holdings_by_vm.get(a.head.id)) for a in self._assignments]
-        held = [
-            (a, h)
-            for a, h in heads
-            if h is not None and (h.group, h.generation) == a.key
-        ]
-        view.ready = frozenset(a.key for a, h in held if h.ready)
-        view.idle = frozenset(a.key for a, h in held if h.running == 0)
-        return view
 
     def _may_rest(self, view):
         """Return whether no plan is due: all is settled and the last one is recent."""
-        waiting = self._absent_since_by_vm or self._draining_since_by_key
         all_ready = len(view.ready) == len(self._assignments)
         recent = view.now - self._planned_at < PLAN_INTERVAL_S
-        return recent and all_ready and not waiting and not view.doubted
+        settled = self._observations.settled() and not view.doubted
+        return recent and all_ready and settled
 
     def _account(self, view):
         """Add up group downtime and stranded accelerators since the last time."""
@@ -358,69 +287,6 @@
             stranded_accelerator_s=elapsed_s * stranded,
         )
 
-    def _quarantines(self, now):
-        """Return until when VMs that restarted often are left out of new groups."""
-        until_by_vm = {}
-        for vm_id, losses in self._losses_by_vm.items():
-            recent = [at for at in losses if now - at < LOSS_WINDOW_S]
-            if len(recent) >= LOSSES_BEFORE_QUARANTINE:
-                factor = 2 ** (len(recent) - LOSSES_BEFORE_QUARANTINE)
-                until_by_vm[vm_id] = recent[-1] + QUARANTINE_S * factor
-        return until_by_vm
-
-    def _record(self, plan_decisions):
-        for decided in plan_decisions:
-            summary = (decided.action, decided.seen, decided.chosen)
-            waiting = decided.action == Action.WAIT
-            if waiting and self._last_chosen_by_group.get(decided.group) == summary:
-                continue
-            self._last_chosen_by_group[decided.group] = summary
-            self._next_decision += 1
-            decision = Decision(
-                f"{self._region}-{self.lease.fence}-{self._next_decision}",
-                self._kernel.clock.wall(),
-                decided.group,
-                str(decided.action),
-                decided.seen,
-                decided.chosen,
-                decided.rejected,
-                decided.vms,
-            )
-            self._decisions.append(decision)
-            self._unwritten = True
-            log.info(
-                "decision {}: {} {}: {} -> {}",
-                decision.id,
-                decision.action,
-                decision.group,
-                decision.seen,
-                decision.chosen,
-            )
-
-    async def _write_decisions(self):
-        """Write the recent decisions in batches; losing some loses only records."""
-        version = None
-        while True:
-            await self._kernel.clock.sleep(DECISIONS_WRITE_INTERVAL_S)
-            if not self._unwritten or not self.lease.valid():
-                continue
-            self._unwritten = False
-            store = self._kernel.get("store")
-            try:
-                if version is None:
-                    stored = await store.get(DECISIONS, self._region)
-                    version = stored.version if stored else 0
-            except StoreError:
-                continue
-            value = [dump_decision(decision) for decision in self._decisions]
-            put = Put(DECISIONS, self._region, value, version)
-            match await store.write(put, give_up_after_s=WRITE_GIVE_UP_S):
-                case Written(written):
-                    version = written
-                case _:
-                    version = None
-                    self._unwritten = True
-
     def _keep_vm_tasks(self, vms_by_id):
         for vm in vms_by_id.values():
             if vm.region == self._region and vm.id not in self._tasks_by_vm:
@@ -442,21 +308,20 @@
             except TimeoutError:
                 pass
             vms_by_id = self._kernel.get("fleet").vms_by_id
-        self._holdings_by_vm.pop(vm_id, None)
-        self._unreachable_vms.discard(vm_id)
+        self._observations.forget_vm(vm_id)
         self._tasks_by_vm.pop(vm_id, None)
 
     async def _settle_once(self, vm):
         """Read one engine and send the order it needs; return when to look again."""
         holding = await self._orders.read(vm.address)
         if holding is None:
-            self._holdings_by_vm.pop(vm.id, None)
-            self._unreachable_vms.add(vm.id)
+            self._observations.forget_vm(vm.id)
+            self._observations.unreachable_vms.add(vm.id)
             self._noticed.set()
             return UNSETTLED_READ_S
-        self._unreachable_vms.discard(vm.id)
-        before = self._holdings_by_vm.get(vm.id)
-        self._holdings_by_vm[vm.id] = holding
+        self._observations.unreachable_vms.discard(vm.id)
+        before = self._observations.holdings_by_vm.get(vm.id)
+        self._observations.holdings_by_vm[vm.id] = holding
         if before is None or before.ready != holding.ready:
             self._noticed.set()
         assignment, rank = self._place_of(vm)
