Check a caller's key once, and drop what nothing uses

Change: admission and the permission for a service are two questions; the unused parts are gone; the check matches on the outcomes' classes.

--- a/benchmarks/_serving.py
+++ b/benchmarks/_serving.py
@@ -129,7 +129,6 @@
 
     __slots__ = (
         "fleet",
-        "sinks",
         "refused",
         "causes",
         "broken",
@@ -141,7 +140,6 @@
 
     def __init__(self, fleet, seed):
         self.fleet = fleet
-        self.sinks = []
         self.refused = 0
         self.causes = {}
         self.broken = 0
--- a/fuzz/_tickets.py
+++ b/fuzz/_tickets.py
@@ -11,6 +11,7 @@
     Accepted,
     AlreadyAccepted,
     Current,
+    OutcomeUnknown,
     load_accepted,
     may_serve,
     parse_ticket,
@@ -168,18 +169,17 @@
         match outcome:
             case Accepted(number) | AlreadyAccepted(number):
                 assert numbers[ticket.header.submission] == number
-    told = {t.header.submission for t, o in oracle.submissions if _may_be_in(o)}
-    unexpected = set(numbers) - told - _unfinished(oracle, numbers)
+    told = {ticket.header.submission for ticket, _ in oracle.submissions}
+    possible = {t.header.submission for t, o in oracle.submissions if _may_be_in(o)}
+    unexpected = set(numbers) & told - possible
     assert not unexpected, f"accepted though refused: {unexpected}"
 
 
 def _may_be_in(outcome):
-    return type(outcome).__name__ in ("Accepted", "AlreadyAccepted", "OutcomeUnknown")
-
-
-def _unfinished(oracle, numbers):
-    told = {ticket.header.submission for ticket, _ in oracle.submissions}
-    return set(numbers) - told
+    match outcome:
+        case Accepted() | AlreadyAccepted() | OutcomeUnknown():
+            return True
+    return False
 
 
 SUBMISSIONS = st.builds(
--- a/pimentogap/access/__init__.py
+++ b/pimentogap/access/__init__.py
@@ -1,6 +1,12 @@
 """Who may call, and who may submit tickets."""
 
-from pimentogap.access._admission import Admitted, Rejected, admit, may_submit
+from pimentogap.access._admission import (
+    Admitted,
+    Rejected,
+    admit,
+    may_submit,
+    refuse_service,
+)
 from pimentogap.access._keys import hash_key, key_matches, new_key
 
 __all__ = [
@@ -11,4 +17,5 @@
     "key_matches",
     "may_submit",
     "new_key",
+    "refuse_service",
 ]
--- a/pimentogap/access/_admission.py
+++ b/pimentogap/access/_admission.py
@@ -20,7 +20,7 @@
     refusal: Refusal
 
 
-def admit(configuration, *, workspace_name, key, service_name):
+def admit(configuration, *, workspace_name, key):
     """Return `Admitted` or `Rejected` for a call.
 
     A wrong key and an unknown workspace are answered alike.
@@ -32,12 +32,17 @@
     if not allowed:
         detail = "no workspace of that name admits this key"
         return Rejected(not_run(RefusalCode.UNKNOWN_WORKSPACE, detail))
-    if service_name is not None and service_name not in workspace.services:
-        detail = f"workspace {workspace.name} may not call {service_name}"
-        return Rejected(not_run(RefusalCode.NOT_PERMITTED, detail))
     return Admitted(workspace)
 
 
+def refuse_service(workspace, service_name):
+    """Return the `Refusal` of a service that may not be called, or ``None``."""
+    if service_name in workspace.services:
+        return None
+    detail = f"workspace {workspace.name} may not call {service_name}"
+    return not_run(RefusalCode.NOT_PERMITTED, detail)
+
+
 def may_submit(configuration, *, operator_name, key):
     """Return whether ``key`` belongs to the operator; anyone may before the first is
     configured."""
--- a/pimentogap/entry/_base.py
+++ b/pimentogap/entry/_base.py
@@ -8,7 +8,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler, stream_request_body
 
-from pimentogap.access import Admitted, Rejected, admit
+from pimentogap.access import Admitted, Rejected, admit, refuse_service
 from pimentogap.errors import Refused
 from pimentogap.logs import trace_id
 from pimentogap.metrics import Series
@@ -110,10 +110,10 @@
             raise Refused(not_run(RefusalCode.MALFORMED, detail))
         return int(text) / 1000
 
-    def admitted_workspace(self, service_name):
+    def admitted_workspace(self):
         """Return the caller's `Workspace`.
 
-        :raises Refused: if the caller may not call the service, or nobody may.
+        :raises Refused: if no workspace admits the caller, or nobody is served.
         """
         if self.kernel.get("entry").closing:
             detail = "the daemon is stopping"
@@ -127,7 +127,6 @@
             configuration.current,
             workspace_name=self.request.headers.get(WORKSPACE_HEADER, ""),
             key=key if scheme.lower() == "bearer" else "",
-            service_name=service_name,
         )
         match admission:
             case Admitted(workspace):
@@ -135,6 +134,15 @@
             case Rejected(refusal):
                 raise Refused(refusal)
 
+    def check_permitted(self, workspace, service_name):
+        """Check that the workspace may call the service.
+
+        :raises Refused: if it may not.
+        """
+        refusal = refuse_service(workspace, service_name)
+        if refusal is not None:
+            raise Refused(refusal)
+
     def count(self, service, workspace, outcome):
         """Count a request by its outcome, for metrics and objectives."""
         self.kernel.get("objectives").outcome(service, workspace, outcome)
--- a/pimentogap/entry/_completions.py
+++ b/pimentogap/entry/_completions.py
@@ -43,12 +43,13 @@
         self.count(service, workspace_name, outcome)
 
     def _check_service(self, service):
-        workspace = self.admitted_workspace(None)
+        workspace = self.admitted_workspace()
         configuration = self.kernel.get("configuration").current
         if configuration.get("model_service", service) is None:
             detail = f"no model is called {service}"
             raise Refused(not_run(RefusalCode.UNKNOWN_MODEL, detail))
-        return self.admitted_workspace(service) and workspace
+        self.check_permitted(workspace, service)
+        return workspace
 
     async def _serve(self, body, workspace):
         clock = self.kernel.clock
@@ -205,7 +206,7 @@
 
     def get(self):
         try:
-            workspace = self.admitted_workspace(None)
+            workspace = self.admitted_workspace()
         except Refused as error:
             self.refuse(error.refusal)
             return
--- a/pimentogap/entry/_plain.py
+++ b/pimentogap/entry/_plain.py
@@ -38,13 +38,13 @@
         workspace_name = "-"
         try:
             configuration = self.kernel.get("configuration").current
-            workspace = self.admitted_workspace(None)
+            workspace = self.admitted_workspace()
             workspace_name = workspace.name
             service = configuration.get("plain_service", service_name)
             if service is None:
                 detail = f"no service is called {service_name}"
                 raise Refused(not_run(RefusalCode.UNKNOWN_SERVICE, detail))
-            self.admitted_workspace(service_name)
+            self.check_permitted(workspace, service_name)
             self.kernel.get("limits").charge(workspace)
             if path.startswith(service.action_prefix):
                 outcome = await self._run_action(service, workspace, path)
--- a/pimentogap/peers/_service.py
+++ b/pimentogap/peers/_service.py
@@ -53,7 +53,6 @@
     __slots__ = (
         "table",
         "objects_by_name",
-        "bytes_posted",
         "_kernel",
         "_transport",
         "_seeds",
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -57,10 +57,6 @@
         """Return where daemon ``index`` serves its peers."""
         return f"{self.host}:{self.first_port + 50 + index}"
 
-    def plain_address(self, service_index, server_index):
-        """Return where a plain server listens."""
-        return f"{self.host}:{self.first_port + 70 + 10 * service_index + server_index}"
-
     def standin_settings(self):
         """Return the settings of the stand-ins as plain data."""
         return {
@@ -158,10 +154,6 @@
         process.kill()
         process.wait()
 
-    def signal_daemon(self, index, number):
-        """Send a signal to daemon ``index``."""
-        self.processes_by_name[f"daemon-{index}"].send_signal(number)
-
     def stop(self):
         """End every process."""
         for process in self.processes_by_name.values():
@@ -174,10 +166,6 @@
         """Ask the stand-ins' control panel; return its answer."""
         return get_json(self.layout.control_address, path)
 
-    def store_faults(self, **faults):
-        """Change the faults of the platform's store; return its counters."""
-        return post_json(self.layout.platform_address, "/standin/faults", faults)
-
     def _spawn(self, name, module, function):
         code = f"import sys; from {module} import {function}; sys.exit({function}())"
         settings = str(self.folder / f"{name}.yaml")
@@ -218,12 +206,3 @@
     """Return the JSON that a GET of ``path`` gives."""
     with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as response:
         return json.load(response)
-
-
-def post_json(address, path, data):
-    """Return the JSON that a POST of ``data`` gives."""
-    request = urllib.request.Request(
-        f"http://{address}{path}", json.dumps(data).encode(), method="POST"
-    )
-    with urllib.request.urlopen(request, timeout=5) as response:
-        return json.load(response)
