--- /dev/null
+++ b/front.py
@@ -0,0 +1,7 @@
+"""Starts the front daemon from a checkout, as deploy/system.toml does."""
+
+import sys
+
+from pimentogap.programs._front import run_front
+
+sys.exit(run_front())
--- a/pimentogap/errors.py
+++ b/pimentogap/errors.py
@@ -52,6 +52,13 @@
     """The connection ended after some of the request had been written."""
 
 
+class KeptConnectionClosed(ResponseLost):
+    """A kept connection ended before any of the response came.
+
+    The server may have closed it while it was idle, or after it ran the request.
+    """
+
+
 class ResponseTimeout(ResponseLost):
     """No whole response arrived within the time limit."""
 
--- /dev/null
+++ b/pimentogap/formation/_plan.py
@@ -0,0 +1,86 @@
+"""Plans which backend servers form which model groups."""
+
+from dataclasses import dataclass
+
+from pimentogap.types import BackendState
+
+# Backend servers of a fabric domain that are left free for repair.
+SPARES_FOR_EACH_DOMAIN = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A group to form for ``model``; the first of ``members`` is its head."""
+
+    model: object
+    members: tuple
+    needs_load: bool
+
+
+def plan_groups(engine, free, counts_by_model, last_model_by_id, *, spares):
+    """Return the groups to form from ``free`` backend servers.
+
+    :param engine: the `EngineSpec` of the service.
+    :param free: backend servers in no group that is worth keeping.
+    :param counts_by_model: groups that exist or are being formed.
+    :param last_model_by_id: the model of each one's last group.
+    :param spares: how many to leave free in each fabric domain.
+    """
+    free_by_domain = {}
+    for backend in free:
+        if backend.state is BackendState.READY:
+            free_by_domain.setdefault(backend.domain, []).append(backend)
+    counts = dict(counts_by_model)
+    plans = []
+    while True:
+        plan = _next_plan(engine, free_by_domain, counts, last_model_by_id, spares)
+        if plan is None:
+            return plans
+        plans.append(plan)
+        counts[plan.model.name] = counts.get(plan.model.name, 0) + 1
+        taken = {member.id for member in plan.members}
+        domain = plan.members[0].domain
+        free_by_domain[domain] = [
+            item for item in free_by_domain[domain] if item.id not in taken
+        ]
+
+
+def _next_plan(engine, free_by_domain, counts, last_model_by_id, spares):
+    """Return the next group, for the model that is shortest against its share."""
+    by_need = sorted(
+        engine.models, key=lambda spec: (counts.get(spec.name, 0) + 0.5) / _want(spec)
+    )
+    for spec in by_need:
+        options = []
+        for members in free_by_domain.values():
+            if len(members) < spec.size + spares:
+                continue
+            chosen = _pick(members, spec, last_model_by_id)
+            cold = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
+            options.append((cold, -len(members), chosen))
+        if options:
+            cold, _, chosen = min(options, key=lambda option: option[:2])
+            return Plan(spec, tuple(chosen), cold > 0)
+    return None
+
+
+def _want(spec):
+    """Return the number of groups that a unit of traffic needs, relative to others."""
+    return max(0.01, spec.share) * spec.pace
+
+
+def _pick(members, spec, last_model_by_id):
+    """Return ``spec.size`` of ``members``, those that have the weights first."""
+
+    def rank(backend):
+        if last_model_by_id.get(backend.id) == spec.name:
+            return 0
+        return 1 if spec.name in backend.staged else 2
+
+    ordered = sorted(members, key=lambda item: (rank(item), item.id))
+    return ordered[: spec.size]
+
+
+def _is_cold(backend, spec, last_model_by_id):
+    last = last_model_by_id.get(backend.id)
+    return last != spec.name and spec.name not in backend.staged
--- /dev/null
+++ b/pimentogap/formation/_service.py
@@ -0,0 +1,457 @@
+"""The service that makes, opens, repairs and dissolves model groups."""
+
+from logbook import Logger
+
+from pimentogap.directory import groups_of
+from pimentogap.directory._groups import group_name
+from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
+from pimentogap.formation._limiter import LoadLimiter
+from pimentogap.formation._plan import SPARES_FOR_EACH_DOMAIN, plan_groups
+from pimentogap.kernel import RestartOnError
+from pimentogap.types import (
+    BackendState,
+    CloseGroup,
+    JoinGroup,
+    LeaveGroup,
+    MemberState,
+    OpenGroup,
+    OrderConflict,
+    OrderDone,
+    OrderStarted,
+    OrderUnanswered,
+    StageWeights,
+)
+
+log = Logger("formation")
+
+TICK_S = 0.15
+# A new leader lets the list settle before it changes anything.
+SETTLE_S = 0.5
+ORDER_RETRY_S = 1.0
+# A member that has not joined by then, beyond its load, is given up.
+JOIN_GRACE_S = 3.0
+EPOCHS_FOR_EACH_TERM = 100000
+# An order without an answer may be carried out this much later.
+LATE_ORDER_S = 12.5
+# Loads before the first request take a tenth of the time and are not counted.
+FREE_LOADS_S = 9.0
+PROBE_INTERVAL_S = 0.6
+
+
+class Forming:
+    """A group that this leader is forming: from the first join to the open head."""
+
+    __slots__ = ("service", "model", "name", "epoch", "members", "give_up_at", "asked_at")
+
+    def __init__(self, service, model, name, epoch, members, give_up_at):
+        self.service = service
+        self.model = model
+        self.name = name
+        self.epoch = epoch
+        self.members = members
+        self.give_up_at = give_up_at
+        self.asked_at = {}
+
+
+class FormationService:
+    """Keeps as many complete groups as the backend servers allow.
+
+    Only the holder of the lease acts. What is intended is read from the members
+    themselves: a group's name and epoch are never used twice, so a successor
+    finds every group as it is and dissolves what is not whole.
+    """
+
+    name = "formation"
+    requires = ("lease", "directory", "serving_configuration", "placement")
+    __slots__ = (
+        "_settings",
+        "_engines",
+        "_kernel",
+        "_lease",
+        "_directory",
+        "_configuration",
+        "_placement",
+        "_limiter",
+        "_term",
+        "_term_since",
+        "_epoch_count",
+        "_forming_by_key",
+        "_asked_at",
+        "_unsettled_until_by_id",
+        "_last_model_by_id",
+        "_lost_ids",
+        "_probed_at",
+        "_staging_by_id",
+        "_started_at",
+    )
+
+    def __init__(self, settings, engines):
+        """Give orders through ``engines``.
+
+        :param settings: the `FrontSettings`.
+        """
+        self._settings = settings
+        self._engines = engines
+        self._kernel = None
+        self._lease = None
+        self._directory = None
+        self._configuration = None
+        self._placement = None
+        self._limiter = LoadLimiter()
+        self._last_model_by_id = {}
+        self._started_at = 0.0
+        self._reset(0, 0.0)
+
+    def _reset(self, term, now):
+        self._term = term
+        self._term_since = now
+        self._epoch_count = 0
+        self._forming_by_key = {}
+        self._asked_at = {}
+        self._unsettled_until_by_id = {}
+        self._lost_ids = {}
+        self._probed_at = {}
+        self._staging_by_id = {}
+
+    async def start(self, kernel):
+        """Begin to act whenever the lease is held."""
+        self._kernel = kernel
+        self._started_at = kernel.clock.time()
+        self._lease = kernel.get("lease")
+        self._directory = kernel.get("directory")
+        self._configuration = kernel.get("serving_configuration")
+        self._placement = kernel.get("placement")
+        kernel.spawn(self.name, self._run, on_error=RestartOnError())
+
+    async def stop(self):
+        """Do nothing; the kernel ends the tasks."""
+
+    async def _run(self):
+        clock = self._kernel.clock
+        while True:
+            try:
+                async with clock.timeout(TICK_S):
+                    await self._directory.changed.wait()
+                await clock.sleep(0.02)
+            except TimeoutError:
+                pass
+            if not self._lease.is_held():
+                self._term = 0
+                continue
+            if self._term != self._lease.term:
+                self._reset(self._lease.term, clock.time())
+                log.notice("leading", term=self._term)
+            if self._is_settled():
+                self._act()
+
+    def _is_settled(self):
+        now = self._kernel.clock.time()
+        return (
+            self._directory.loaded
+            and self._configuration.current is not None
+            and now - self._term_since >= SETTLE_S
+        )
+
+    def _act(self):
+        for service in self._configuration.current.services_by_name.values():
+            if service.engine is not None and service.engine.models:
+                self._act_for(service)
+
+    def _act_for(self, service):
+        backends = [
+            backend
+            for backend in self._directory.backends_by_id.values()
+            if backend.service == service.name
+        ]
+        self._note_models(backends)
+        groups = groups_of(backends)
+        sizes = {spec.name: spec.size for spec in service.engine.models}
+        counts = {}
+        busy_ids = set()
+        for key, group in groups.items():
+            if self._keep_group(service, key, group, sizes):
+                counts[group.model] = counts.get(group.model, 0) + 1
+                busy_ids.update(item.id for item in group.members_by_rank.values())
+        for key, forming in list(self._forming_by_key.items()):
+            if forming.service != service.name:
+                continue
+            if self._advance(forming, groups.get(key)):
+                busy_ids.update(forming.members)
+                if not self._is_kept(groups.get(key), sizes):
+                    counts[forming.model] = counts.get(forming.model, 0) + 1
+            else:
+                del self._forming_by_key[key]
+        now = self._kernel.clock.time()
+        free = [
+            backend
+            for backend in backends
+            if backend.id not in busy_ids
+            and backend.state is BackendState.READY
+            and backend.id not in self._lost_ids
+            and now >= self._unsettled_until_by_id.get(backend.id, 0.0)
+            and self._is_released(backend, groups)
+        ]
+        self._form(service, free, counts)
+        self._stage_spares(service, free, counts)
+
+    def _is_kept(self, group, sizes):
+        return (
+            group is not None
+            and group.head is not None
+            and group.head.membership.state is MemberState.OPEN
+            and group.is_complete(sizes.get(group.model, 0))
+        )
+
+    def _note_models(self, backends):
+        for backend in backends:
+            if backend.membership is not None:
+                model = backend.membership.group.partition(".")[0]
+                self._last_model_by_id[backend.id] = model
+
+    def _keep_group(self, service, key, group, sizes):
+        """Open a whole group, dissolve a broken one; tell whether it is to be kept."""
+        size = sizes.get(group.model, 0)
+        whole = group.is_complete(size) and not any(
+            item.id in self._lost_ids for item in group.members_by_rank.values()
+        )
+        if whole:
+            if group.head.membership.state is MemberState.READY:
+                self._ask(group.head, OpenGroup(group.name, group.epoch))
+            else:
+                self._probe_if_silent(group)
+            return True
+        if key in self._forming_by_key:
+            return False
+        self._dissolve(group)
+        return False
+
+    def _dissolve(self, group):
+        """Free the members of a group that cannot serve: the head first."""
+        head = group.head
+        order = LeaveGroup(group.name, group.epoch)
+        if head is not None and head.id not in self._lost_ids:
+            if head.membership.state in (MemberState.OPEN, MemberState.CLOSING):
+                planned = any(
+                    item.state is BackendState.DRAINING
+                    for item in group.members_by_rank.values()
+                ) and not any(
+                    item.id in self._lost_ids
+                    for item in group.members_by_rank.values()
+                )
+                preempt = not planned
+                if head.membership.state is MemberState.OPEN:
+                    self._ask(head, CloseGroup(group.name, group.epoch, preempt))
+                return
+            self._ask(head, order)
+            return
+        for member in group.members_by_rank.values():
+            if member.id not in self._lost_ids:
+                self._ask(member, order)
+
+    def _is_released(self, backend, groups):
+        """Tell whether ``backend`` may join another group now."""
+        place = backend.membership
+        if place is None:
+            return True
+        group = groups.get((place.group, place.epoch))
+        head = group.head if group else None
+        return head is None or head.membership.state not in (
+            MemberState.OPEN,
+            MemberState.CLOSING,
+        )
+
+    def _form(self, service, free, counts):
+        plans = plan_groups(
+            service.engine,
+            free,
+            counts,
+            self._last_model_by_id,
+            spares=SPARES_FOR_EACH_DOMAIN,
+        )
+        now = self._kernel.clock.time()
+        for plan in plans:
+            if plan.needs_load and not self._admit_loads(service, len(plan.members)):
+                continue
+            self._epoch_count += 1
+            epoch = self._term * EPOCHS_FOR_EACH_TERM + self._epoch_count
+            name = group_name(plan.model.name, epoch)
+            load_s = plan.model.load_s if plan.needs_load else plan.model.warm_s
+            forming = Forming(
+                service.name,
+                plan.model.name,
+                name,
+                epoch,
+                tuple(member.id for member in plan.members),
+                now + load_s * 1.5 + JOIN_GRACE_S,
+            )
+            self._forming_by_key[(name, epoch)] = forming
+            log.info(
+                "forming group",
+                group=name,
+                members=forming.members,
+                cold=plan.needs_load,
+                list_rev=self._directory.revision,
+                term=self._term,
+            )
+            self._advance(forming, None)
+
+    def _advance(self, forming, group):
+        """Send what the forming group still needs; tell whether to go on with it."""
+        now = self._kernel.clock.time()
+        backends = [
+            self._directory.backends_by_id.get(id_) for id_ in forming.members
+        ]
+        lost = [
+            id_
+            for id_, item in zip(forming.members, backends, strict=True)
+            if item is None
+            or item.state is not BackendState.READY
+            or id_ in self._lost_ids
+        ]
+        if group is not None and len(group.members_by_rank) == len(forming.members):
+            if group.is_complete(len(forming.members)):
+                return group.head.membership.state is not MemberState.OPEN
+        if lost or now > forming.give_up_at:
+            log.info(
+                "group given up", group=forming.name, lost=lost, term=self._term
+            )
+            for item in backends:
+                if item is not None and item.id not in lost:
+                    self._ask(item, LeaveGroup(forming.name, forming.epoch))
+            return False
+        join = JoinGroup(forming.name, forming.epoch, forming.model, forming.members)
+        for backend in backends:
+            place = backend.membership
+            if place is None or (place.group, place.epoch) != (
+                forming.name,
+                forming.epoch,
+            ):
+                self._ask(backend, join)
+        return True
+
+    def _admit_loads(self, service, count):
+        now = self._kernel.clock.time()
+        if self._loads_are_free():
+            return True
+        return self._limiter.admit(
+            count,
+            now,
+            loads_per_s=service.engine.loads_per_s,
+            window_s=self._settings.load_window_s,
+        )
+
+    def _loads_are_free(self):
+        age_s = self._kernel.clock.time() - self._started_at
+        served = self._kernel.get("forwarding").served
+        return self._settings.first_start and age_s < FREE_LOADS_S and not served
+
+    def _stage_spares(self, service, free, counts):
+        """Have weights loaded onto hosts in no group, for the next repair."""
+        by_domain = {}
+        forming = {id_ for f in self._forming_by_key.values() for id_ in f.members}
+        for backend in free:
+            if backend.id not in forming and backend.membership is None:
+                by_domain.setdefault(backend.domain, []).append(backend)
+        for spares in by_domain.values():
+            self._stage_in_domain(service, spares)
+
+    def _stage_in_domain(self, service, spares):
+        models = sorted(service.engine.models, key=lambda spec: -spec.size)
+        have = {spec.name: 0 for spec in models}
+        empty = []
+        for backend in sorted(spares, key=lambda item: item.id):
+            known = self._staging_by_id.get((backend.id, backend.born_ms))
+            names = [name for name in (*backend.staged, known) if name in have]
+            if names:
+                have[names[0]] += 1
+            else:
+                empty.append(backend)
+        for backend in empty:
+            spec = min(models, key=lambda item: have[item.name])
+            have[spec.name] += 1
+            if self._admit_loads(service, 1):
+                self._staging_by_id[(backend.id, backend.born_ms)] = spec.name
+                self._ask(backend, StageWeights(spec.name))
+
+    def _probe_if_silent(self, group):
+        """Ask every member of a group whose head stopped answering whether it lives."""
+        now = self._kernel.clock.time()
+        if not self._placement.load(group.head).is_suspect(now):
+            return
+        key = (group.name, group.epoch)
+        if now - self._probed_at.get(key, 0.0) < PROBE_INTERVAL_S:
+            return
+        self._probed_at[key] = now
+        for member in group.members_by_rank.values():
+            self._kernel.spawn(self.name, self._probe, member, group)
+
+    async def _probe(self, member, group):
+        try:
+            report = await self._engines.report(member)
+        except (ConnectionFailed, ResponseLost) as error:
+            self._lost_ids[member.id] = self._kernel.clock.time()
+            log.warning(
+                "member believed lost",
+                backend=member.id,
+                group=group.name,
+                error=str(error),
+            )
+            self._kernel.spawn(self.name, self._watch_lost, member)
+            return
+        self._lost_ids.pop(member.id, None)
+        if report is not None and report.membership != member.membership:
+            log.info("report differs from the list", backend=member.id)
+
+    async def _watch_lost(self, member):
+        """Ask a member that is believed lost again until it answers or is unlisted."""
+        while member.id in self._lost_ids:
+            await self._kernel.clock.sleep(PROBE_INTERVAL_S * 2)
+            if member.id not in self._directory.backends_by_id:
+                break
+            try:
+                await self._engines.report(member)
+                break
+            except (ConnectionFailed, ResponseLost) as error:
+                log.debug("still no answer", backend=member.id, error=str(error))
+        self._lost_ids.pop(member.id, None)
+        log.info("member no longer believed lost", backend=member.id)
+
+    def _ask(self, backend, order):
+        """Send ``order`` unless the same one is under way or was sent just now."""
+        now = self._kernel.clock.time()
+        key = (backend.id, backend.born_ms, order)
+        if now - self._asked_at.get(key, -ORDER_RETRY_S) < ORDER_RETRY_S:
+            return
+        self._asked_at[key] = now
+        self._kernel.spawn(self.name, self._send, backend, order)
+
+    async def _send(self, backend, order):
+        if not self._lease.is_held() or self._lease.term != self._term:
+            return
+        term = self._term
+        try:
+            outcome = await self._engines.order(
+                backend, order, fence=term, orders_seen=None
+            )
+        except OrderRefused as error:
+            log.warning(
+                "order refused", backend=backend.id, order=repr(order), error=str(error)
+            )
+            return
+        log.info(
+            "order",
+            backend=backend.id,
+            order=type(order).__name__,
+            group=getattr(order, "group", None),
+            term=term,
+            outcome=type(outcome).__name__,
+            detail=getattr(outcome, "detail", None),
+        )
+        match outcome:
+            case OrderUnanswered():
+                if isinstance(order, JoinGroup):
+                    until = self._kernel.clock.time() + LATE_ORDER_S
+                    self._unsettled_until_by_id[backend.id] = until
+            case OrderConflict() | OrderDone() | OrderStarted():
+                self._unsettled_until_by_id.pop(backend.id, None)
+
--- /dev/null
+++ b/pimentogap/forwarding/_routes.py
@@ -0,0 +1,92 @@
+"""Decides by the configuration alone whether and where a request may go."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from pimentogap.types import Route, RouteKind
+
+
+class RejectReason(StrEnum):
+    """Why the configuration does not allow a request."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    NO_ATTEMPT_ID = "no_attempt_id"
+
+
+STATUS_BY_REASON = {
+    RejectReason.NO_CONFIGURATION: 503,
+    RejectReason.NO_ROUTE: 404,
+    RejectReason.UNKNOWN_KEY: 401,
+    RejectReason.NO_ATTEMPT_ID: 400,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may go to ``service``, for ``workspace`` if it has one."""
+
+    route: Route
+    service: str
+    workspace: str | None
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The request is not allowed by the configuration that is in force."""
+
+    reason: RejectReason
+
+
+def admit(configuration, request, rng):
+    """Return `Admitted` or `Rejected` for ``request``.
+
+    :param configuration: the `ServingConfiguration` in force, or ``None``.
+    :param request: the `CallerRequest`.
+    :param rng: picks among the services of a split route.
+    """
+    if configuration is None:
+        return Rejected(RejectReason.NO_CONFIGURATION)
+    route = find_route(configuration, request.host, request.path)
+    if route is None:
+        return Rejected(RejectReason.NO_ROUTE)
+    workspace, priority = None, route.priority
+    if configuration.holders_by_key is not None:
+        holder = configuration.holders_by_key.get(request.needs.key)
+        if holder is None and route.needs_key:
+            return Rejected(RejectReason.UNKNOWN_KEY)
+        if holder is not None:
+            workspace = holder.workspace
+            priority = route.priority if holder.priority is None else holder.priority
+    if not request.needs.attempt_id:
+        return Rejected(RejectReason.NO_ATTEMPT_ID)
+    return Admitted(route, _pick(route.splits, rng), workspace, priority)
+
+
+def find_route(configuration, host, path):
+    """Return the route of ``host`` with the longest prefix of ``path``, if any."""
+    name = host.lower()
+    routes = configuration.routes_by_host.get(name)
+    if routes is None:
+        routes = configuration.routes_by_host.get(name.partition(":")[0], ())
+    bare_path = path.partition("?")[0]
+    for route in routes:
+        if bare_path.startswith(route.path_prefix):
+            return route
+    return None
+
+
+def is_stream(route):
+    """Tell whether answers of ``route`` are streams of events."""
+    return route.kind is RouteKind.STREAMING
+
+
+def _pick(splits, rng):
+    if len(splits) == 1:
+        return splits[0].service
+    weights = [split.weight for split in splits]
+    if sum(weights) <= 0:
+        return splits[0].service
+    return rng.choices(splits, weights)[0].service
--- /dev/null
+++ b/pimentogap/ingress/_service.py
@@ -0,0 +1,216 @@
+"""Listens for callers and for the platform's question whether to send any."""
+
+import asyncio
+
+from logbook import Logger
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+from tornado.web import Application, RequestHandler
+
+from pimentogap.ingress._exchange import Exchange
+from pimentogap.types import CallerLimits
+
+log = Logger("ingress")
+
+BACKLOG = 1024
+# The platform takes a daemon out after two misses at one question a second.
+ROTATION_S = 3.2
+# Kept of the grace period for the end of the process itself.
+EXIT_MARGIN_S = 0.7
+CHECK_INTERVAL_S = 0.1
+MAX_HEADER_BYTES = 65536
+
+
+class ReadinessHandler(RequestHandler):
+    """Answers 200 while the daemon is to get new connections."""
+
+    __slots__ = ()
+
+    def initialize(self, ingress):
+        """Ask ``ingress``."""
+        self.ingress = ingress
+
+    def get(self):
+        """Answer 200 or 503."""
+        self.set_status(200 if self.ingress.is_ready() else 503)
+
+
+class MetricsHandler(RequestHandler):
+    """Serves counters and histograms as text."""
+
+    __slots__ = ()
+
+    def initialize(self, metrics):
+        """Show ``metrics``."""
+        self.metrics = metrics
+
+    def get(self):
+        """Answer with every metric."""
+        self.set_header("Content-Type", "text/plain")
+        self.write(self.metrics.text())
+
+
+class CallerServer(TCPServer):
+    """Accepts callers' connections and serves each by one task."""
+
+    __slots__ = ("_ingress",)
+
+    def __init__(self, ingress):
+        super().__init__()
+        self._ingress = ingress
+
+    async def handle_stream(self, stream, address):
+        """Serve one connection until it ends."""
+        await self._ingress.serve_connection(stream)
+
+
+class IngressService:
+    """Takes requests from callers; says whether the daemon is ready for more."""
+
+    name = "ingress"
+    requires = ("forwarding", "serving_configuration", "directory", "metrics")
+    __slots__ = (
+        "codec",
+        "forwarding",
+        "closing",
+        "_settings",
+        "_configuration",
+        "_directory",
+        "_kernel",
+        "_server",
+        "_readiness",
+        "_idle_streams",
+        "_exchanges",
+        "_was_ready",
+    )
+
+    def __init__(self, settings, codec):
+        """Listen where ``settings``, the `FrontSettings`, say.
+
+        :param codec: reads the headers of requests.
+        """
+        self.codec = codec
+        self.forwarding = None
+        self.closing = False
+        self._settings = settings
+        self._configuration = None
+        self._directory = None
+        self._kernel = None
+        self._server = None
+        self._readiness = None
+        self._idle_streams = set()
+        self._exchanges = set()
+        self._was_ready = None
+
+    async def start(self, kernel):
+        """Open the listening sockets."""
+        self._kernel = kernel
+        self.forwarding = kernel.get("forwarding")
+        self._configuration = kernel.get("serving_configuration")
+        self._directory = kernel.get("directory")
+        metrics = kernel.get("metrics")
+        self._server = CallerServer(self)
+        self._server.add_sockets(_bind(self._settings.caller_address))
+        application = Application(
+            [
+                (r"/metrics", MetricsHandler, {"metrics": metrics}),
+                (r"/.*", ReadinessHandler, {"ingress": self}),
+            ],
+            log_function=lambda handler: None,
+        )
+        self._readiness = HTTPServer(application)
+        self._readiness.add_sockets(_bind(self._settings.readiness_address))
+
+    async def stop(self):
+        """Let requests end, and stop before the platform's patience ends."""
+        self.closing = True
+        clock = self._kernel.clock
+        began = clock.time()
+        log.notice("draining", in_flight=self.forwarding.in_flight)
+        last = began + self._settings.grace_s - EXIT_MARGIN_S
+        while clock.time() < last:
+            if clock.time() >= began + ROTATION_S:
+                self._close_idle()
+                if not self._exchanges:
+                    break
+            await clock.sleep(CHECK_INTERVAL_S)
+        log.notice("drained", left=len(self._exchanges))
+        self._server.stop()
+        self._readiness.stop()
+
+    def now(self):
+        """Return the time of the runtime's clock."""
+        return self._kernel.clock.time()
+
+    def is_ready(self):
+        """Tell whether the daemon can serve new callers."""
+        ready = (
+            not self.closing
+            and self._configuration.current is not None
+            and self._directory.loaded
+        )
+        if ready is not self._was_ready:
+            log.notice("readiness", ready=ready, closing=self.closing)
+            self._was_ready = ready
+        return ready
+
+    def limits(self):
+        """Return the `CallerLimits` in force."""
+        configuration = self._configuration.current
+        return configuration.limits if configuration else CallerLimits()
+
+    def request_began(self, exchange):
+        """Note a request whose head has been read."""
+        self._exchanges.add(exchange)
+
+    def request_ended(self, exchange):
+        """Forget a request."""
+        self._exchanges.discard(exchange)
+
+    async def serve_connection(self, stream):
+        """Answer the requests of one connection, one after the other."""
+        stream.set_nodelay(True)
+        try:
+            while not stream.closed():
+                if not await self._serve_request(stream):
+                    break
+        except StreamClosedError:
+            log.debug("connection ended")
+        finally:
+            self._idle_streams.discard(stream)
+            stream.close()
+
+    async def _serve_request(self, stream):
+        """Answer one request and tell whether another one may follow."""
+        limits = self.limits()
+        connection = HTTP1Connection(
+            stream,
+            False,
+            HTTP1ConnectionParameters(
+                header_timeout=limits.idle_timeout_s,
+                max_header_size=MAX_HEADER_BYTES,
+                max_body_size=max(limits.max_body_bytes, 1) * 2,
+            ),
+        )
+        exchange = Exchange(self, connection, stream)
+        connection.set_close_callback(exchange.caller_left)
+        self._idle_streams.add(stream)
+        try:
+            keep = await connection.read_response(exchange)
+        finally:
+            exchange.end()
+        return keep and not exchange.close_after
+
+    def _close_idle(self):
+        busy = {exchange.stream for exchange in self._exchanges}
+        for stream in list(self._idle_streams):
+            if stream not in busy:
+                stream.close()
+
+
+def _bind(address):
+    host, _, port = address.rpartition(":")
+    return bind_sockets(int(port), host.strip("[]"), backlog=BACKLOG)
--- /dev/null
+++ b/pimentogap/placement/__init__.py
@@ -0,0 +1,14 @@
+"""Chooses the backend server for each send, by what is known of its load."""
+
+from pimentogap.placement._budget import RetryBudget
+from pimentogap.placement._loads import BackendLoad
+from pimentogap.placement._service import Forward, Full, Missing, PlacementService
+
+__all__ = [
+    "BackendLoad",
+    "Forward",
+    "Full",
+    "Missing",
+    "PlacementService",
+    "RetryBudget",
+]
--- /dev/null
+++ b/pimentogap/platform/__init__.py
@@ -0,0 +1,26 @@
+"""The adapter to the platform: its names and documents, and nothing decided."""
+
+from pimentogap.platform._backends import decode_backend
+from pimentogap.platform._configuration import decode_configuration
+from pimentogap.platform._engines import HttpEngines
+from pimentogap.platform._headers import PlatformHeaders
+from pimentogap.platform._objects import ObjectTransport
+from pimentogap.platform._settings import load_platform_settings
+
+BACKEND_COLLECTION = "servers"
+CONFIGURATION_COLLECTION = "config"
+CONFIGURATION_NAME = "main"
+SETTINGS_VARIABLE = "PIMENTOGAP_CONFIG"
+
+__all__ = [
+    "BACKEND_COLLECTION",
+    "CONFIGURATION_COLLECTION",
+    "CONFIGURATION_NAME",
+    "SETTINGS_VARIABLE",
+    "HttpEngines",
+    "ObjectTransport",
+    "PlatformHeaders",
+    "decode_backend",
+    "decode_configuration",
+    "load_platform_settings",
+]
--- /dev/null
+++ b/pimentogap/platform/_backends.py
@@ -0,0 +1,74 @@
+"""Decodes entries of the platform's list of backend servers."""
+
+from pimentogap.types import Backend, BackendState, Membership, MemberState
+
+STATES_BY_WORD = {"ready": BackendState.READY, "draining": BackendState.DRAINING}
+MEMBER_STATES_BY_WORD = {state.value: state for state in MemberState}
+
+
+def decode_backend(name, data):
+    """Return the `Backend` that the entry ``data`` describes.
+
+    ``None`` is returned for an entry that names no usable backend server;
+    others than backend servers may write entries.
+    """
+    if not isinstance(data, dict):
+        return None
+    address, service = data.get("addr"), data.get("service")
+    state = STATES_BY_WORD.get(_hashable(data.get("state")))
+    if not _is_address(address) or not isinstance(service, str) or state is None:
+        return None
+    membership = _membership(data.get("group"))
+    if membership is False or not isinstance(data.get("zone"), str):
+        return None
+    return Backend(
+        id=name,
+        service=service,
+        address=address,
+        availability_zone=data["zone"],
+        state=state,
+        slots=_whole(data.get("slots"), 1),
+        born_ms=_whole(data.get("born"), 0),
+        orders=_whole(data.get("seq"), 0),
+        domain=data.get("domain") if isinstance(data.get("domain"), str) else "",
+        models=_names(data.get("models")),
+        staged=_names(data.get("staged")),
+        membership=membership,
+    )
+
+
+def _membership(data):
+    if not data:
+        return None
+    if not isinstance(data, dict):
+        return False
+    state = MEMBER_STATES_BY_WORD.get(_hashable(data.get("state")))
+    name = data.get("name")
+    if not name:
+        return None
+    if state is None or not isinstance(name, str):
+        return False
+    return Membership(
+        name, _whole(data.get("epoch"), 0), _whole(data.get("rank"), 0), state
+    )
+
+
+def _names(data):
+    if not isinstance(data, list):
+        return ()
+    names = (item.get("name") if isinstance(item, dict) else item for item in data)
+    return tuple(name for name in names if isinstance(name, str))
+
+
+def _is_address(value):
+    return isinstance(value, str) and value.rpartition(":")[2].isdigit()
+
+
+def _whole(value, default):
+    if isinstance(value, bool) or not isinstance(value, int):
+        return default
+    return value
+
+
+def _hashable(value):
+    return value if isinstance(value, str) else None
--- /dev/null
+++ b/pimentogap/platform/_configuration.py
@@ -0,0 +1,139 @@
+"""Decodes the operator's configuration document."""
+
+from pimentogap.errors import InvalidDocument
+from pimentogap.schema import Problem
+from pimentogap.types import (
+    CallerLimits,
+    EngineSpec,
+    KeyHolder,
+    ModelSpec,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    ServingConfiguration,
+    Split,
+)
+
+MS = 1000.0
+KINDS_BY_WORD = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+}
+
+
+def decode_configuration(data):
+    """Return the `ServingConfiguration` that the document ``data`` holds.
+
+    :raises InvalidDocument: if it cannot be read.
+    """
+    try:
+        return _decode(data)
+    except KeyError as error:
+        raise InvalidDocument([Problem(str(error.args[0]), None, "missing", "a value")])
+    except (TypeError, ValueError, AttributeError) as error:
+        raise InvalidDocument([Problem("", None, str(error), "a configuration")])
+
+
+def _decode(data):
+    routes = tuple(_route(item) for item in data["routes"])
+    services = [_service(item) for item in data["services"]]
+    by_host = {}
+    for route in routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    for host_routes in by_host.values():
+        host_routes.sort(key=lambda route: -len(route.path_prefix))
+    return ServingConfiguration(
+        version=data["version"],
+        routes=routes,
+        services_by_name={service.name: service for service in services},
+        limits=_limits(data.get("limits") or {}),
+        holders_by_key=_holders(data.get("tenants")),
+        routes_by_host=by_host,
+    )
+
+
+def _route(item):
+    timeout_ms = item.get("timeoutMs") or 60000
+    return Route(
+        name=item["name"],
+        host=item["host"],
+        path_prefix=item["pathPrefix"],
+        kind=KINDS_BY_WORD.get(item.get("routeKind"), RouteKind.NON_IDEMPOTENT),
+        splits=_splits(item),
+        timeout_s=timeout_ms / MS,
+        first_byte_s=(item.get("targetLatencyMs") or timeout_ms) / MS,
+        max_gap_s=(item.get("targetGapMs") or 0) / MS,
+        max_attempts=int(item.get("maxAttempts") or 1),
+        priority=_priority(item, 5),
+        needs_key=not item.get("authExempt", False),
+        # The platform calls a route sticky if its requests name a model.
+        carries_model=bool(item.get("sticky", False)),
+        resumable=bool(item.get("streamResume", False)),
+    )
+
+
+def _splits(item):
+    if item.get("trafficSplit"):
+        return tuple(
+            Split(part["service"], float(part.get("weight", 1)))
+            for part in item["trafficSplit"]
+        )
+    return (Split(item["service"], 1.0),)
+
+
+def _priority(item, default):
+    value = item.get("priority")
+    return default if value is None else int(value)
+
+
+def _service(item):
+    engine = item.get("engine")
+    return ServiceSpec(
+        name=item["name"],
+        health_path=item.get("healthPath") or "/health",
+        max_connections=int(item.get("maxConns") or 64),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item):
+    models = tuple(
+        ModelSpec(
+            name=model["name"],
+            size=int(model.get("size") or 1),
+            share=float(model.get("share") or 0),
+            pace=float(model.get("pace") or 1),
+            load_s=float(model.get("loadS") or 15),
+            warm_s=float(model.get("warmS") or 1.5),
+        )
+        for model in item.get("models") or ()
+    )
+    return EngineSpec(
+        slots=int(item.get("slots") or 1),
+        models=models,
+        step_s=float(item.get("step_ms") or 6) / MS,
+        step_per_request_s=float(item.get("per_seq_ms") or 0.5) / MS,
+        tokens_read_per_s=float(item.get("read_per_s") or 46000),
+        loads_per_s=float(item.get("loadsPerS") or 4),
+        form_s=float(item.get("formMs") or 300) / MS,
+    )
+
+
+def _limits(item):
+    return CallerLimits(
+        max_header_bytes=int(item.get("maxHeaderBytes") or 16384),
+        max_body_bytes=int(item.get("maxBodyBytes") or 4 * 2**20),
+        header_timeout_s=(item.get("headerTimeoutMs") or 3000) / MS,
+        idle_timeout_s=(item.get("idleTimeoutMs") or 15000) / MS,
+    )
+
+
+def _holders(tenants):
+    if not tenants:
+        return None
+    return {
+        key: KeyHolder(tenant["name"], tenant.get("priority"))
+        for tenant in tenants
+        for key in tenant.get("apiKeys") or ()
+    }
--- /dev/null
+++ b/pimentogap/platform/_engines.py
@@ -0,0 +1,114 @@
+"""Reports of model engines and orders to them, over HTTP."""
+
+import json
+
+from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
+from pimentogap.platform._backends import decode_backend
+from pimentogap.types import (
+    CloseGroup,
+    HttpRequest,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+    OrderConflict,
+    OrderDone,
+    OrderStarted,
+    OrderUnanswered,
+    StageWeights,
+)
+
+ORDER_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 0.5
+DONE_STATUS = 200
+
+
+class HttpEngines:
+    """Sends orders to engines and reads their reports."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, client):
+        """Bind to ``client``, a `pimentogap.web.HttpClient`."""
+        self._client = client
+
+    async def order(self, backend, order, *, fence, orders_seen):
+        """Send ``order`` to ``backend`` and return what became of it.
+
+        :param fence: the fencing token of the sender's lease.
+        :param orders_seen: the order is void if the engine has accepted a
+            different number of orders; ``None`` leaves that unchecked.
+        :return: `OrderStarted`, `OrderDone`, `OrderConflict` or `OrderUnanswered`.
+        :raises OrderRefused: if the engine has seen a newer fencing token.
+        """
+        body = _encode(order)
+        body["fenceToken"] = fence
+        if orders_seen is not None:
+            body["expectedRev"] = orders_seen
+        headers = {
+            "Content-Type": "application/json",
+            "X-Pimentogap-Expect-Replica": backend.id,
+        }
+        request = HttpRequest("POST", "/api/order", headers, json.dumps(body).encode())
+        try:
+            response = await self._client.fetch(
+                backend.address, request, timeout_s=ORDER_TIMEOUT_S
+            )
+        except (ConnectionFailed, ResponseLost) as error:
+            return OrderUnanswered(str(error))
+        match response.status:
+            case 202:
+                return OrderStarted()
+            case 200:
+                return OrderDone()
+            case 412:
+                raise OrderRefused(response.body.decode("latin-1")[:200])
+            case status:
+                return OrderConflict(status, response.body.decode("latin-1")[:200])
+
+    async def report(self, backend):
+        """Return ``backend`` as it describes itself now.
+
+        :raises ConnectionFailed: if it cannot be reached.
+        :raises ResponseLost: if it gave no answer that can be read.
+        """
+        request = HttpRequest(
+            "GET", "/api/report", {"X-Pimentogap-Expect-Replica": backend.id}
+        )
+        response = await self._client.fetch(
+            backend.address, request, timeout_s=REPORT_TIMEOUT_S
+        )
+        if response.status != DONE_STATUS:
+            raise ResponseLost(f"{backend.id} answered {response.status}")
+        data = response.json()
+        data |= {
+            "service": backend.service,
+            "addr": backend.address,
+            "zone": backend.availability_zone,
+            "state": backend.state.value,
+        }
+        return decode_backend(backend.id, data)
+
+
+def _encode(order):
+    match order:
+        case JoinGroup(group, epoch, model, members):
+            return {
+                "operation": "join",
+                "group": group,
+                "epoch": epoch,
+                "model": model,
+                "members": list(members),
+            }
+        case OpenGroup(group, epoch):
+            return {"operation": "open", "group": group, "epoch": epoch}
+        case CloseGroup(group, epoch, preempt):
+            return {
+                "operation": "close",
+                "group": group,
+                "epoch": epoch,
+                "closeMode": "preempt" if preempt else "queue",
+            }
+        case LeaveGroup(group, epoch):
+            return {"operation": "leave", "group": group, "epoch": epoch}
+        case StageWeights(model):
+            return {"operation": "stage", "model": model}
--- /dev/null
+++ b/pimentogap/platform/_objects.py
@@ -0,0 +1,132 @@
+"""Carries store calls to the platform's object API."""
+
+import json
+from urllib.parse import quote, urlencode
+
+from pimentogap.errors import (
+    ConnectionFailed,
+    ResponseLost,
+    StoreAnswerLost,
+    StoreError,
+    StoreUnavailable,
+    WatchCompacted,
+)
+from pimentogap.store import (
+    Change,
+    Conflict,
+    Delete,
+    Get,
+    List,
+    Page,
+    Put,
+    Stored,
+    Watch,
+    Written,
+)
+from pimentogap.types import HttpRequest
+
+NOT_CARRIED_OUT_STATUSES = (429, 503)
+WATCH_GRACE_S = 2.0
+MS = 1000
+
+
+class ObjectTransport:
+    """Speaks the object API at one address over kept connections."""
+
+    __slots__ = ("_client", "_address")
+
+    def __init__(self, client, address):
+        self._client = client
+        self._address = address
+
+    async def call(self, call, *, timeout_s):
+        """Carry out ``call`` and return its typed answer.
+
+        :raises StoreUnavailable: if the call was certainly not carried out.
+        :raises StoreAnswerLost: if it may have been.
+        """
+        if isinstance(call, Watch):
+            timeout_s = call.wait_s + WATCH_GRACE_S
+        try:
+            response = await self._client.fetch(
+                self._address, _encode(call), timeout_s=timeout_s
+            )
+            if response.status in NOT_CARRIED_OUT_STATUSES:
+                raise StoreUnavailable(f"the store answered {response.status}")
+            return _decode(call, response.status, response.json())
+        except ConnectionFailed as error:
+            raise StoreUnavailable(str(error))
+        except ResponseLost as error:
+            raise StoreAnswerLost(str(error))
+
+
+def _encode(call):
+    match call:
+        case Get(collection, name, stale):
+            return HttpRequest("GET", _path(collection, name, allowStale=stale))
+        case Put(collection, name, value, 0):
+            return _write("POST", _path(collection), _document(name, value))
+        case Put(collection, name, value, version):
+            document = _document(name, value)
+            document["metadata"]["revision"] = version
+            return _write("PUT", _path(collection, name), document)
+        case Delete(collection, name, version):
+            return HttpRequest("DELETE", _path(collection, name, revision=version))
+        case List(collection, after, _):
+            return HttpRequest("GET", _path(collection, afterRev=after))
+        case Watch(collection, revision, wait_s):
+            wait_ms = int(wait_s * MS)
+            return HttpRequest("GET", _path(collection, watch=revision, waitMs=wait_ms))
+        case _:
+            raise StoreError(f"the object API has no call for {call}")
+
+
+def _decode(call, status, data):
+    match call, status:
+        case Get(), 200:
+            return _stored(data)
+        case (Get() | Delete()), 404:
+            return Conflict(None) if isinstance(call, Delete) else None
+        case Put(), 404:
+            return Conflict(None)
+        case Put(), 200 | 201:
+            return Written(data["metadata"]["revision"])
+        case Delete(), 200 | 204:
+            return Written(0)
+        case (Put() | Delete()), 409:
+            return Conflict(_stored(data) if "metadata" in data else None)
+        case List(), 200:
+            items = tuple(_stored(item) for item in data["items"])
+            return Page(items, data["currentRev"], truncated=bool(data["truncated"]))
+        case Watch(), 200:
+            changes = tuple(_change(event) for event in data["events"])
+            return Page(changes, data["currentRev"])
+        case Watch(), 410:
+            raise WatchCompacted("the history that the watch needs is gone")
+    raise StoreError(f"the store answered {status} to {call}")
+
+
+def _stored(data):
+    metadata = data["metadata"]
+    return Stored(metadata["name"], metadata["revision"], data.get("specification"))
+
+
+def _change(event):
+    return Change(_stored(event["object"]), bool(event["removed"]))
+
+
+def _document(name, value):
+    return {"metadata": {"name": name}, "specification": value}
+
+
+def _write(method, path, document):
+    body = json.dumps(document, separators=(",", ":")).encode()
+    return HttpRequest(method, path, {"Content-Type": "application/json"}, body)
+
+
+def _path(collection, name=None, **query):
+    path = f"/api/objects/{collection}"
+    if name is not None:
+        path += f"/{quote(name, safe='')}"
+    query = {key: int(v) if v is True else v for key, v in query.items() if v}
+    return f"{path}?{urlencode(query)}" if query else path
--- /dev/null
+++ b/pimentogap/programs/_front.py
@@ -0,0 +1,164 @@
+"""The front daemon: serves callers on the platform and keeps model groups whole."""
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+import time
+
+from logbook import Logger
+
+from pimentogap.directory import DirectoryService, ServingConfigurationService
+from pimentogap.errors import InvalidDocument
+from pimentogap.formation import FormationService, LeaseService
+from pimentogap.forwarding import ForwardingService
+from pimentogap.ingress import IngressService
+from pimentogap.kernel import Kernel
+from pimentogap.logs import install_decision_log
+from pimentogap.metrics import MetricService
+from pimentogap.placement import PlacementService
+from pimentogap.platform import (
+    BACKEND_COLLECTION,
+    CONFIGURATION_COLLECTION,
+    CONFIGURATION_NAME,
+    SETTINGS_VARIABLE,
+    HttpEngines,
+    ObjectTransport,
+    PlatformHeaders,
+    decode_backend,
+    decode_configuration,
+    load_platform_settings,
+)
+from pimentogap.store import StoreClient
+from pimentogap.web import BackendPool, HttpClient
+
+log = Logger("front")
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+FLUSH_INTERVAL_S = 0.05
+STORE_TIMEOUT_S = 1.0
+
+EPILOG = f"""\
+The settings file is the platform's; its path stands in {SETTINGS_VARIABLE}.
+
+examples:
+  pimentogap-front                        run until SIGTERM
+  pimentogap-front --settings f.yaml      read the settings from this file
+  pimentogap-front --check                only check the settings
+
+exit codes:
+  0  stopped in order, or the settings are right
+  1  a part failed that the daemon cannot do without
+  2  the settings are wrong
+"""
+
+
+def run_front(arguments=None):
+    """Run the front daemon and return its exit code."""
+    options = _parser().parse_args(arguments)
+    try:
+        settings = _read(options.settings)
+    except OSError as error:
+        print(f"{options.settings}: {error.strerror}", file=sys.stderr)
+        return EXIT_SETTINGS
+    except InvalidDocument as error:
+        for problem in error.problems:
+            print(f"{options.settings}: {problem}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        print(f"{options.settings}: the settings are right")
+        return EXIT_OK
+    sink = install_decision_log(level=options.log_level, clock=time.time)
+    return asyncio.run(_run(settings, options.settings, sink))
+
+
+def assemble_front(settings, *, store_transport, engines, pool, codec, seed=None):
+    """Return a `Kernel` with every service of the front daemon."""
+    kernel = Kernel(seed=seed)
+    for service in (
+        MetricService(),
+        StoreClient(store_transport, timeout_s=STORE_TIMEOUT_S),
+        ServingConfigurationService(
+            CONFIGURATION_COLLECTION, CONFIGURATION_NAME, decode_configuration
+        ),
+        DirectoryService(BACKEND_COLLECTION, decode_backend),
+        PlacementService(),
+        ForwardingService(settings, pool, codec),
+        LeaseService(settings.id),
+        FormationService(settings, engines),
+        IngressService(settings, codec),
+    ):
+        kernel.register(service)
+    return kernel
+
+
+async def _run(settings, path, sink):
+    loop = asyncio.get_running_loop()
+    loop.create_task(_flush(sink))
+    kernel = assemble_front(
+        settings,
+        store_transport=ObjectTransport(HttpClient(), settings.store_address),
+        engines=HttpEngines(HttpClient()),
+        pool=BackendPool(),
+        codec=PlatformHeaders(),
+    )
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    try:
+        await kernel.start()
+    except OSError as error:
+        log.critical("not started", error=str(error))
+        await kernel.stop()
+        sink.flush()
+        return EXIT_FAILED
+    log.notice("started", daemon=settings.id, zone=settings.availability_zone)
+    stopped = asyncio.ensure_future(stop.wait())
+    failed = asyncio.ensure_future(kernel.wait_for_failure())
+    await asyncio.wait([stopped, failed], return_when=asyncio.FIRST_COMPLETED)
+    await kernel.stop()
+    failed.cancel()
+    log.notice("stopped", in_order=stop.is_set())
+    sink.flush()
+    return EXIT_OK if stop.is_set() else EXIT_FAILED
+
+
+def _reload(path):
+    """Check the settings file, whose fields take effect at the next start."""
+    try:
+        _read(path)
+    except (OSError, InvalidDocument) as error:
+        log.error("settings not readable, the old ones stay", error=str(error))
+        return
+    log.notice("settings read again")
+
+
+def _read(path):
+    with open(path, encoding="utf-8") as file:
+        return load_platform_settings(file.read())
+
+
+async def _flush(sink):
+    while True:
+        sink.flush()
+        await asyncio.sleep(FLUSH_INTERVAL_S)
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="pimentogap-front",
+        description="Serve callers on the platform and keep model groups whole.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    default = os.environ.get(SETTINGS_VARIABLE)
+    parser.add_argument(
+        "--settings", default=default, required=default is None, metavar="FILE"
+    )
+    parser.add_argument("--log-level", default="INFO", metavar="LEVEL")
+    parser.add_argument("--check", action="store_true", help="check and exit")
+    return parser
--- a/pimentogap/settings/__init__.py
+++ b/pimentogap/settings/__init__.py
@@ -1,5 +1,6 @@
 """Checked settings of the programs."""
 
+from pimentogap.settings._front import FrontSettings
 from pimentogap.settings._settings import (
     CallerSettings,
     DaemonSettings,
@@ -13,6 +14,7 @@
 __all__ = [
     "CallerSettings",
     "DaemonSettings",
+    "FrontSettings",
     "LogSettings",
     "PeerSettings",
     "Settings",
--- a/pimentogap/store/__init__.py
+++ b/pimentogap/store/__init__.py
@@ -1,6 +1,7 @@
 """The platform's object API: typed calls and a client service."""
 
 from pimentogap.store._calls import (
+    Change,
     Conflict,
     Delete,
     Get,
@@ -20,6 +21,7 @@
 from pimentogap.store._snapshots import Snapshot, SnapshotCollection, object_name
 
 __all__ = [
+    "Change",
     "Conflict",
     "Delete",
     "Get",
--- a/pimentogap/store/_calls.py
+++ b/pimentogap/store/_calls.py
@@ -5,10 +5,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Get:
-    """Read one object."""
+    """Read one object; a ``stale`` read costs less and may be seconds old."""
 
     collection: str
     name: str
+    stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,10 +67,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Objects and the store's revision at which they were read."""
+    """Objects or changes, and the store's revision at which they were read.
+
+    More objects follow the last one of a ``truncated`` page.
+    """
 
     items: tuple
     revision: int
+    truncated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """An object as a change left it, or as it was before it was ``removed``."""
+
+    stored: Stored
+    removed: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -90,12 +90,14 @@
     async def stop(self):
         """Do nothing; calls under way belong to their callers."""
 
-    async def get(self, collection, name):
+    async def get(self, collection, name, *, stale=False):
         """Return the `Stored` object, or ``None`` if there is none.
 
+        :param stale: whether an answer that is seconds old will do.
+
         :raises StoreUnavailable: if no answer came before the limit.
         """
-        return await self._read(Get(collection, name))
+        return await self._read(Get(collection, name, stale))
 
     async def list(self, collection, *, after="", limit=None):
         """Return objects of ``collection``, by name, and the store's revision.
@@ -107,7 +109,7 @@
         while True:
             page = await self._read(List(collection, after, limit or PAGE_OBJECTS))
             items.extend(page.items)
-            if limit is not None or len(page.items) < PAGE_OBJECTS:
+            if limit is not None or not page.truncated:
                 return items, page.revision
             after = page.items[-1].name
 
--- a/pimentogap/store/http.py
+++ b/pimentogap/store/http.py
@@ -67,7 +67,7 @@
 def encode(call):
     """Return the HTTP request of ``call``."""
     match call:
-        case Get(collection, name):
+        case Get(collection, name, _):
             return HttpRequest("GET", _object_path(collection, name))
         case Put(collection, name, value, version):
             condition = (
@@ -102,10 +102,12 @@
             return Written(data["version"])
         case Put() | Delete(), 412:
             return Conflict(_stored(data["current"]) if data["current"] else None)
-        case List() | Watch(), 200:
-            return Page(
-                tuple(_stored(item) for item in data["items"]), data["revision"]
-            )
+        case List(limit=limit), 200:
+            items = tuple(_stored(item) for item in data["items"])
+            return Page(items, data["revision"], truncated=len(items) >= limit)
+        case Watch(), 200:
+            items = tuple(_stored(item) for item in data["items"])
+            return Page(items, data["revision"])
         case Watch(), 410:
             raise WatchCompacted(data.get("detail", ""))
         case ListVms(), 200:
--- a/pimentogap/web/__init__.py
+++ b/pimentogap/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP towards backend servers and the platform."""
 
 from pimentogap.web._client import BodyBuffer, HttpClient
+from pimentogap.web._pool import BackendPool
 
-__all__ = ["BodyBuffer", "HttpClient"]
+__all__ = ["BackendPool", "BodyBuffer", "HttpClient"]
--- a/pimentogap/web/_client.py
+++ b/pimentogap/web/_client.py
@@ -10,10 +10,10 @@
     RequestStartLine,
 )
 from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from pimentogap.errors import ConnectionFailed, ResponseLost, ResponseTimeout
 from pimentogap.types import HttpResponse
+from pimentogap.web._connect import connect
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 32
@@ -121,10 +121,9 @@
     read, which holds the sender back.
     """
 
-    __slots__ = ("_tcp_client", "_idle_by_address", "_parameters", "connections_opened")
+    __slots__ = ("_idle_by_address", "_parameters", "connections_opened")
 
     def __init__(self):
-        self._tcp_client = None
         self._idle_by_address = {}
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES,
@@ -231,15 +230,11 @@
             raise ResponseLost(f"{address} closed the connection: {error}")
 
     async def _connect(self, address):
-        host, _, port = address.rpartition(":")
-        if self._tcp_client is None:
-            self._tcp_client = TCPClient()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                stream = await self._tcp_client.connect(host.strip("[]"), int(port))
+                stream = await connect(address)
         except (OSError, TimeoutError, StreamClosedError) as error:
             raise ConnectionFailed(f"no connection to {address}: {error!r}")
-        stream.set_nodelay(True)
         self.connections_opened += 1
         return stream
 
--- /dev/null
+++ b/pimentogap/web/_pool.py
@@ -0,0 +1,227 @@
+"""Kept connections to backend servers, on tornado's HTTP/1.1 connection."""
+
+import asyncio
+from collections import deque
+
+from logbook import Logger
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import StreamClosedError
+
+from pimentogap.errors import ConnectionFailed, KeptConnectionClosed, ResponseLost
+from pimentogap.web._connect import connect
+
+log = Logger("web.pool")
+
+MAX_HEADER_BYTES = 65536
+MAX_BODY_BYTES = 2**40
+MAX_IDLE_FOR_EACH_BACKEND = 24
+# Answers to earlier requests that may precede the awaited one on a connection.
+MAX_STRAY_ANSWERS = 2
+KEEP_ALIVE_MARGIN_S = 1.0
+DEFAULT_IDLE_S = 4.0
+BODY_METHODS = ("POST", "PUT", "PATCH")
+
+
+class _Reader(HTTPMessageDelegate):
+    """Hands one answer to a receiver, or drops it if the receiver disowns it."""
+
+    __slots__ = ("receiver", "stream", "began", "wanted", "finished", "idle_s", "error")
+
+    def __init__(self, receiver, stream):
+        self.receiver = receiver
+        self.stream = stream
+        self.began = False
+        self.wanted = True
+        self.finished = False
+        self.idle_s = DEFAULT_IDLE_S
+        self.error = None
+
+    async def headers_received(self, start_line, headers):
+        self.began = True
+        if 100 <= start_line.code < 200:
+            return
+        self.idle_s = _idle_limit(headers)
+        try:
+            self.wanted = self.receiver.owns(start_line.code, headers)
+            if self.wanted:
+                await self.receiver.headers_received(start_line.code, headers)
+        except Exception as error:
+            self._end(error)
+
+    async def data_received(self, chunk):
+        if self.error is not None or not self.wanted:
+            return
+        try:
+            await self.receiver.data_received(chunk)
+        except Exception as error:
+            self._end(error)
+
+    def finish(self):
+        self.finished = self.error is None
+
+    def on_connection_close(self):
+        self.finished = False
+
+    def _end(self, error):
+        # Raised again by the pool, once tornado has let go of the connection.
+        self.error = error
+        self.stream.close()
+
+
+class _Idle:
+    """A connection that waits for its next request until ``expires_at``."""
+
+    __slots__ = ("stream", "expires_at")
+
+    def __init__(self, stream, expires_at):
+        self.stream = stream
+        self.expires_at = expires_at
+
+
+class BackendPool:
+    """Sends requests to backend servers and keeps connections for later ones.
+
+    A receiver is an object with ``owns(status, headers)``, which tells whether
+    an answer belongs to its request, and the coroutines ``headers_received``
+    and ``data_received``.
+    """
+
+    __slots__ = ("_idle_by_address", "_parameters", "connections_opened")
+
+    def __init__(self):
+        self._idle_by_address = {}
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+        )
+        self.connections_opened = 0
+
+    async def exchange(
+        self, address, method, path, headers, body, receiver, *, fresh, connect_s
+    ):
+        """Send a request and hand its answer to ``receiver`` as it arrives.
+
+        Cancelling the call closes the connection.
+
+        :param headers: pairs of name and value.
+        :param fresh: open a connection, so that a failure to do so proves that
+            nothing was sent.
+        :param connect_s: seconds that opening a connection may take.
+        :raises ConnectionFailed: if nothing was sent.
+        :raises KeptConnectionClosed: if a kept connection ended without an answer.
+        :raises ResponseLost: if the answer did not arrive whole.
+        """
+        stream = None if fresh else self._take(address)
+        reused = stream is not None
+        if stream is None:
+            stream = await self._open(address, connect_s)
+        keep_s = 0.0
+        try:
+            line = RequestStartLine(method, path, "HTTP/1.1")
+            keep_s = await self._transfer(
+                stream, line, _fields(method, headers, body), body, receiver, reused
+            )
+        finally:
+            if keep_s > 0 and not stream.closed():
+                self._keep(address, stream, keep_s)
+            else:
+                stream.close()
+
+    def forget(self, address):
+        """Close the idle connections to ``address``."""
+        for idle in self._idle_by_address.pop(address, ()):
+            idle.stream.set_close_callback(None)
+            idle.stream.close()
+
+    def close(self):
+        """Close every idle connection."""
+        for address in list(self._idle_by_address):
+            self.forget(address)
+
+    async def _transfer(self, stream, line, fields, body, receiver, reused):
+        connection = HTTP1Connection(stream, True, self._parameters)
+        reader = _Reader(receiver, stream)
+        try:
+            # Not awaited: an answer may come before the whole body is sent.
+            connection.write_headers(line, fields, body or None)
+            connection.finish()
+            await connection.read_response(reader)
+            for _ in range(MAX_STRAY_ANSWERS):
+                if reader.wanted or not reader.finished:
+                    break
+                log.info("stray answer dropped", path=line.path)
+                reader = await self._read_next(stream, receiver)
+        except StreamClosedError as error:
+            if reused and not reader.began:
+                raise KeptConnectionClosed(f"the kept connection ended: {error}")
+            raise reader.error or ResponseLost(f"the connection ended: {error}")
+        if reader.error is not None:
+            raise reader.error
+        if not reader.finished or not reader.wanted or stream.error is not None:
+            if reused and not reader.began:
+                raise KeptConnectionClosed("the kept connection ended")
+            raise ResponseLost(f"the answer is not whole: {stream.error}")
+        return reader.idle_s
+
+    async def _read_next(self, stream, receiver):
+        connection = HTTP1Connection(stream, True, self._parameters)
+        connection.finish()
+        reader = _Reader(receiver, stream)
+        await connection.read_response(reader)
+        return reader
+
+    async def _open(self, address, connect_s):
+        try:
+            async with asyncio.timeout(connect_s):
+                stream = await connect(address)
+        except (OSError, TimeoutError, StreamClosedError) as error:
+            raise ConnectionFailed(f"no connection to {address}: {error!r}")
+        self.connections_opened += 1
+        return stream
+
+    def _take(self, address):
+        idle = self._idle_by_address.get(address)
+        now = asyncio.get_running_loop().time()
+        while idle:
+            entry = idle.pop()
+            entry.stream.set_close_callback(None)
+            if not entry.stream.closed() and now < entry.expires_at:
+                return entry.stream
+            entry.stream.close()
+        return None
+
+    def _keep(self, address, stream, keep_s):
+        idle = self._idle_by_address.setdefault(address, deque())
+        if len(idle) >= MAX_IDLE_FOR_EACH_BACKEND:
+            stream.close()
+            return
+        entry = _Idle(stream, asyncio.get_running_loop().time() + keep_s)
+        idle.append(entry)
+
+        def forget():
+            if entry in idle:
+                idle.remove(entry)
+
+        stream.set_close_callback(forget)
+
+
+def _fields(method, headers, body):
+    fields = HTTPHeaders()
+    for name, value in headers:
+        fields.add(name, value)
+    if body or method in BODY_METHODS:
+        fields["Content-Length"] = str(len(body))
+    return fields
+
+
+def _idle_limit(headers):
+    """Return for how many seconds the server keeps the connection; 0 if it does not."""
+    if headers.get("Connection", "").lower() == "close":
+        return 0.0
+    if "Content-Length" not in headers and "Transfer-Encoding" not in headers:
+        return 0.0
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
+    return DEFAULT_IDLE_S
