Plan groups against targets for each model

Ruled out: too few backend servers; half of them stood in groups of the wrong model. Change: the first leader waits until the list stands still, and forms up to the number of groups that the fabric domains have room for, by share.

--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -17,14 +17,38 @@
     needs_load: bool
 
 
-def plan_groups(engine, free, counts_by_model, last_model_by_id, *, spares):
+def target_counts(engine, sizes_by_domain, *, spares):
+    """Return how many groups of each model the backend servers have room for.
+
+    Groups are counted one by one for the model that is shortest against its
+    share, in the fabric domain with the most room.
+
+    :param engine: the `EngineSpec` of the service.
+    :param sizes_by_domain: usable backend servers of each fabric domain.
+    :param spares: how many to leave free in each fabric domain.
+    """
+    room = {name: size - spares for name, size in sizes_by_domain.items()}
+    counts = {spec.name: 0 for spec in engine.models}
+    while True:
+        for spec in _by_need(engine, counts):
+            domain = max(room, key=room.get, default=None)
+            if domain is not None and room[domain] >= spec.size:
+                room[domain] -= spec.size
+                counts[spec.name] += 1
+                break
+        else:
+            return counts
+
+
+def plan_groups(engine, free, counts_by_model, last_model_by_id, targets, *, spares):
     """Return the groups to form from ``free`` backend servers.
 
     :param engine: the `EngineSpec` of the service.
     :param free: backend servers in no group that is worth keeping.
     :param counts_by_model: groups that exist or are being formed.
     :param last_model_by_id: the model of each one's last group.
-    :param spares: how many to leave free in each fabric domain.
+    :param targets: what `target_counts` returned.
+    :param spares: how many to leave free where no group is short of its target.
     """
     free_by_domain = {}
     for backend in free:
@@ -33,7 +57,9 @@
     counts = dict(counts_by_model)
     plans = []
     while True:
-        plan = _next_plan(engine, free_by_domain, counts, last_model_by_id, spares)
+        plan = _next_plan(
+            engine, free_by_domain, counts, last_model_by_id, targets, spares
+        )
         if plan is None:
             return plans
         plans.append(plan)
@@ -45,15 +71,14 @@
         ]
 
 
-def _next_plan(engine, free_by_domain, counts, last_model_by_id, spares):
+def _next_plan(engine, free_by_domain, counts, last_model_by_id, targets, spares):
     """Return the next group, for the model that is shortest against its share."""
-    by_need = sorted(
-        engine.models, key=lambda spec: (counts.get(spec.name, 0) + 0.5) / _want(spec)
-    )
-    for spec in by_need:
+    for spec in _by_need(engine, counts):
+        short = counts.get(spec.name, 0) < targets.get(spec.name, 0)
+        needed = spec.size + (0 if short else spares + 1)
         options = []
         for members in free_by_domain.values():
-            if len(members) < spec.size + spares:
+            if len(members) < needed:
                 continue
             chosen = _pick(members, spec, last_model_by_id)
             cold = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
@@ -64,6 +89,13 @@
     return None
 
 
+def _by_need(engine, counts):
+    """Return the models, the one that is shortest against its share first."""
+    return sorted(
+        engine.models, key=lambda spec: (counts.get(spec.name, 0) + 0.5) / _want(spec)
+    )
+
+
 def _want(spec):
     """Return the number of groups that a unit of traffic needs, relative to others."""
     return max(0.01, spec.share) * spec.pace
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -6,7 +6,7 @@
 from pimentogap.directory._groups import group_name
 from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
 from pimentogap.formation._limiter import LoadLimiter
-from pimentogap.formation._plan import SPARES_FOR_EACH_DOMAIN, plan_groups
+from pimentogap.formation._plan import SPARES_FOR_EACH_DOMAIN, plan_groups, target_counts
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
@@ -27,6 +27,9 @@
 TICK_S = 0.15
 # A new leader lets the list settle before it changes anything.
 SETTLE_S = 0.5
+# At the first start of all, backend servers enter the list one after the other.
+FIRST_LIST_STILL_S = 0.8
+FIRST_LIST_S = 5.0
 ORDER_RETRY_S = 1.0
 # A member that has not joined by then, beyond its load, is given up.
 JOIN_GRACE_S = 3.0
@@ -83,6 +86,8 @@
         "_probed_at",
         "_staging_by_id",
         "_started_at",
+        "_list_size",
+        "_list_size_since",
     )
 
     def __init__(self, settings, engines):
@@ -100,6 +105,8 @@
         self._limiter = LoadLimiter()
         self._last_model_by_id = {}
         self._started_at = 0.0
+        self._list_size = 0
+        self._list_size_since = 0.0
         self._reset(0, 0.0)
 
     def _reset(self, term, now):
@@ -146,11 +153,16 @@
 
     def _is_settled(self):
         now = self._kernel.clock.time()
-        return (
-            self._directory.loaded
-            and self._configuration.current is not None
-            and now - self._term_since >= SETTLE_S
-        )
+        if not self._directory.loaded or self._configuration.current is None:
+            return False
+        if self._settings.first_start and self._term == 1:
+            size = len(self._directory.backends_by_id)
+            if size != self._list_size:
+                self._list_size, self._list_size_since = size, now
+            still_s = now - self._list_size_since
+            if still_s < FIRST_LIST_STILL_S and now - self._term_since < FIRST_LIST_S:
+                return False
+        return now - self._term_since >= SETTLE_S
 
     def _act(self):
         for service in self._configuration.current.services_by_name.values():
@@ -191,7 +203,15 @@
             and now >= self._unsettled_until_by_id.get(backend.id, 0.0)
             and self._is_released(backend, groups)
         ]
-        self._form(service, free, counts)
+        sizes_by_domain = {}
+        for backend in backends:
+            if backend.state is BackendState.READY and backend.id not in self._lost_ids:
+                size = sizes_by_domain.get(backend.domain, 0)
+                sizes_by_domain[backend.domain] = size + 1
+        targets = target_counts(
+            service.engine, sizes_by_domain, spares=SPARES_FOR_EACH_DOMAIN
+        )
+        self._form(service, free, counts, targets)
         self._stage_spares(service, free, counts)
 
     def _is_kept(self, group, sizes):
@@ -260,12 +280,13 @@
             MemberState.CLOSING,
         )
 
-    def _form(self, service, free, counts):
+    def _form(self, service, free, counts, targets):
         plans = plan_groups(
             service.engine,
             free,
             counts,
             self._last_model_by_id,
+            targets,
             spares=SPARES_FOR_EACH_DOMAIN,
         )
         now = self._kernel.clock.time()
