Adopt the groups that a former leader was forming

Cause: a new leader dissolved groups whose members were still loading, and took a member for warm as soon as it had begun to join, so that it gave up after 5 s a load that takes 16 s. Change: groups whose members are all joining or ready are adopted; only a member that was ready counts as loaded; a load has twice its time.

--- a/pimentogap/directory/__init__.py
+++ b/pimentogap/directory/__init__.py
@@ -2,14 +2,21 @@
 
 from pimentogap.directory._configuration import ServingConfigurationService
 from pimentogap.directory._follow import Followed, follow
-from pimentogap.directory._groups import GroupView, groups_of
+from pimentogap.directory._groups import (
+    MODEL_SEPARATOR,
+    GroupView,
+    group_name,
+    groups_of,
+)
 from pimentogap.directory._service import DirectoryService
 
 __all__ = [
+    "MODEL_SEPARATOR",
     "DirectoryService",
     "Followed",
     "GroupView",
     "ServingConfigurationService",
     "follow",
+    "group_name",
     "groups_of",
 ]
--- a/pimentogap/directory/_groups.py
+++ b/pimentogap/directory/_groups.py
@@ -45,7 +45,6 @@
         )
 
 
-
 def group_name(model, epoch):
     """Return the name of the group that is formed for ``model`` at ``epoch``."""
     return f"{model}{MODEL_SEPARATOR}{epoch}"
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -1,12 +1,17 @@
 """The service that makes, opens, repairs and dissolves model groups."""
 
+from collections import Counter
+
 from logbook import Logger
 
-from pimentogap.directory import groups_of
-from pimentogap.directory._groups import group_name
+from pimentogap.directory import MODEL_SEPARATOR, group_name, groups_of
 from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
 from pimentogap.formation._limiter import LoadLimiter
-from pimentogap.formation._plan import SPARES_FOR_EACH_DOMAIN, plan_groups, target_counts
+from pimentogap.formation._plan import (
+    SPARES_FOR_EACH_DOMAIN,
+    plan_groups,
+    target_counts,
+)
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
@@ -31,29 +36,45 @@
 FIRST_LIST_STILL_S = 0.8
 FIRST_LIST_S = 5.0
 ORDER_RETRY_S = 1.0
-# A member that has not joined by then, beyond its load, is given up.
+# A member that has not begun to join by then is given up.
 JOIN_GRACE_S = 3.0
+# Loads that share the weight store take longer than one alone.
+LOAD_PATIENCE = 2.0
 EPOCHS_FOR_EACH_TERM = 100000
 # An order without an answer may be carried out this much later.
 LATE_ORDER_S = 12.5
+LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
 # Loads before the first request take a tenth of the time and are not counted.
 FREE_LOADS_S = 9.0
 PROBE_INTERVAL_S = 0.6
 
 
 class Forming:
-    """A group that this leader is forming: from the first join to the open head."""
+    """A group that this leader is forming: from the first join to the open head.
 
-    __slots__ = ("service", "model", "name", "epoch", "members", "give_up_at", "asked_at")
+    It is given up at ``join_by`` if a member has not begun to join by then, and
+    at ``ready_by`` if one has not loaded the weights.
+    """
+
+    __slots__ = (
+        "service",
+        "model",
+        "name",
+        "epoch",
+        "members",
+        "join_by",
+        "ready_by",
+    )
 
-    def __init__(self, service, model, name, epoch, members, give_up_at):
+    def __init__(self, service, model, *, name, epoch, members, now):
+        """Begin at ``now``, for ``model``, a `ModelSpec` of ``service``."""
         self.service = service
-        self.model = model
+        self.model = model.name
         self.name = name
         self.epoch = epoch
         self.members = members
-        self.give_up_at = give_up_at
-        self.asked_at = {}
+        self.join_by = now + JOIN_GRACE_S
+        self.ready_by = now + model.load_s * LOAD_PATIENCE + JOIN_GRACE_S
 
 
 class FormationService:
@@ -177,22 +198,22 @@
         ]
         self._note_models(backends)
         groups = groups_of(backends)
-        sizes = {spec.name: spec.size for spec in service.engine.models}
-        counts = {}
+        specs = {spec.name: spec for spec in service.engine.models}
+        models_by_key = {}
         busy_ids = set()
         for key, group in groups.items():
-            if self._keep_group(service, key, group, sizes):
-                counts[group.model] = counts.get(group.model, 0) + 1
+            if self._keep_group(service, key, group, specs):
+                models_by_key[key] = group.model
                 busy_ids.update(item.id for item in group.members_by_rank.values())
         for key, forming in list(self._forming_by_key.items()):
             if forming.service != service.name:
                 continue
             if self._advance(forming, groups.get(key)):
                 busy_ids.update(forming.members)
-                if not self._is_kept(groups.get(key), sizes):
-                    counts[forming.model] = counts.get(forming.model, 0) + 1
+                models_by_key[key] = forming.model
             else:
                 del self._forming_by_key[key]
+        counts = Counter(models_by_key.values())
         now = self._kernel.clock.time()
         free = [
             backend
@@ -212,25 +233,19 @@
             service.engine, sizes_by_domain, spares=SPARES_FOR_EACH_DOMAIN
         )
         self._form(service, free, counts, targets)
-        self._stage_spares(service, free, counts)
-
-    def _is_kept(self, group, sizes):
-        return (
-            group is not None
-            and group.head is not None
-            and group.head.membership.state is MemberState.OPEN
-            and group.is_complete(sizes.get(group.model, 0))
-        )
+        self._stage_spares(service, free)
 
     def _note_models(self, backends):
         for backend in backends:
-            if backend.membership is not None:
-                model = backend.membership.group.partition(".")[0]
+            place = backend.membership
+            if place is not None and place.state in LOADED_STATES:
+                model = place.group.partition(MODEL_SEPARATOR)[0]
                 self._last_model_by_id[backend.id] = model
 
-    def _keep_group(self, service, key, group, sizes):
+    def _keep_group(self, service, key, group, specs):
         """Open a whole group, dissolve a broken one; tell whether it is to be kept."""
-        size = sizes.get(group.model, 0)
+        spec = specs.get(group.model)
+        size = spec.size if spec else 0
         whole = group.is_complete(size) and not any(
             item.id in self._lost_ids for item in group.members_by_rank.values()
         )
@@ -242,9 +257,35 @@
             return True
         if key in self._forming_by_key:
             return False
+        if spec is not None and self._may_adopt(group, spec):
+            self._adopt(service, group, spec)
+            return False
         self._dissolve(group)
         return False
 
+    def _may_adopt(self, group, spec):
+        """Tell whether another leader's group is still on its way to be whole."""
+        members = group.members_by_rank
+        return set(members) == set(range(spec.size)) and all(
+            item.id not in self._lost_ids
+            and item.state is BackendState.READY
+            and item.membership.state in (MemberState.JOINING, MemberState.READY)
+            for item in members.values()
+        )
+
+    def _adopt(self, service, group, spec):
+        members = (group.members_by_rank[rank].id for rank in range(spec.size))
+        forming = Forming(
+            service.name,
+            spec,
+            name=group.name,
+            epoch=group.epoch,
+            members=tuple(members),
+            now=self._kernel.clock.time(),
+        )
+        self._forming_by_key[(group.name, group.epoch)] = forming
+        log.info("group adopted", group=group.name, members=forming.members)
+
     def _dissolve(self, group):
         """Free the members of a group that cannot serve: the head first."""
         head = group.head
@@ -255,8 +296,7 @@
                     item.state is BackendState.DRAINING
                     for item in group.members_by_rank.values()
                 ) and not any(
-                    item.id in self._lost_ids
-                    for item in group.members_by_rank.values()
+                    item.id in self._lost_ids for item in group.members_by_rank.values()
                 )
                 preempt = not planned
                 if head.membership.state is MemberState.OPEN:
@@ -296,14 +336,13 @@
             self._epoch_count += 1
             epoch = self._term * EPOCHS_FOR_EACH_TERM + self._epoch_count
             name = group_name(plan.model.name, epoch)
-            load_s = plan.model.load_s if plan.needs_load else plan.model.warm_s
             forming = Forming(
                 service.name,
-                plan.model.name,
-                name,
-                epoch,
-                tuple(member.id for member in plan.members),
-                now + load_s * 1.5 + JOIN_GRACE_S,
+                plan.model,
+                name=name,
+                epoch=epoch,
+                members=tuple(member.id for member in plan.members),
+                now=now,
             )
             self._forming_by_key[(name, epoch)] = forming
             log.info(
@@ -319,9 +358,7 @@
     def _advance(self, forming, group):
         """Send what the forming group still needs; tell whether to go on with it."""
         now = self._kernel.clock.time()
-        backends = [
-            self._directory.backends_by_id.get(id_) for id_ in forming.members
-        ]
+        backends = [self._directory.backends_by_id.get(id_) for id_ in forming.members]
         lost = [
             id_
             for id_, item in zip(forming.members, backends, strict=True)
@@ -329,13 +366,12 @@
             or item.state is not BackendState.READY
             or id_ in self._lost_ids
         ]
-        if group is not None and len(group.members_by_rank) == len(forming.members):
-            if group.is_complete(len(forming.members)):
-                return group.head.membership.state is not MemberState.OPEN
-        if lost or now > forming.give_up_at:
-            log.info(
-                "group given up", group=forming.name, lost=lost, term=self._term
-            )
+        size = len(forming.members)
+        if group is not None and group.is_complete(size):
+            return group.head.membership.state is not MemberState.OPEN
+        joined = group is not None and len(group.members_by_rank) == size
+        if lost or now > (forming.ready_by if joined else forming.join_by):
+            log.info("group given up", group=forming.name, lost=lost, term=self._term)
             for item in backends:
                 if item is not None and item.id not in lost:
                     self._ask(item, LeaveGroup(forming.name, forming.epoch))
@@ -366,7 +402,7 @@
         served = self._kernel.get("forwarding").served
         return self._settings.first_start and age_s < FREE_LOADS_S and not served
 
-    def _stage_spares(self, service, free, counts):
+    def _stage_spares(self, service, free):
         """Have weights loaded onto hosts in no group, for the next repair."""
         by_domain = {}
         forming = {id_ for f in self._forming_by_key.values() for id_ in f.members}
@@ -475,4 +511,3 @@
                     self._unsettled_until_by_id[backend.id] = until
             case OrderConflict() | OrderDone() | OrderStarted():
                 self._unsettled_until_by_id.pop(backend.id, None)
-
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -196,7 +196,9 @@
         )
         sends.may_have_run += 1
         try:
-            outcome = await self._watch(request, route, sends, load, relay, exchange, deadline)
+            outcome = await self._watch(
+                request, route, sends, load, relay, exchange, deadline
+            )
         finally:
             load.in_flight -= 1
             if not exchange.done():
@@ -306,7 +308,9 @@
                 response.finish()
                 self._log(request, admitted, sends, "backend_failed", status)
             case Full(load):
-                self._refuse_not_run(request, admitted, sends, "full", RETRY_AFTER_FULL_S)
+                self._refuse_not_run(
+                    request, admitted, sends, "full", RETRY_AFTER_FULL_S
+                )
             case Missing():
                 self._refuse_not_run(
                     request, admitted, sends, "missing", RETRY_AFTER_MISSING_S
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -3,7 +3,12 @@
 import asyncio
 
 from logbook import Logger
-from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, ResponseStartLine, responses
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    ResponseStartLine,
+    responses,
+)
 from tornado.iostream import StreamClosedError
 
 from pimentogap.forwarding import CallerRequest
--- a/pimentogap/ingress/_service.py
+++ b/pimentogap/ingress/_service.py
@@ -1,7 +1,5 @@
 """Listens for callers and for the platform's question whether to send any."""
 
-import asyncio
-
 from logbook import Logger
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -85,7 +85,7 @@
     match call, status:
         case Get(), 200:
             return _stored(data)
-        case (Get() | Delete()), 404:
+        case ((Get() | Delete()), 404):
             return Conflict(None) if isinstance(call, Delete) else None
         case Put(), 404:
             return Conflict(None)
@@ -93,7 +93,7 @@
             return Written(data["metadata"]["revision"])
         case Delete(), 200 | 204:
             return Written(0)
-        case (Put() | Delete()), 409:
+        case ((Put() | Delete()), 409):
             return Conflict(_stored(data) if "metadata" in data else None)
         case List(), 200:
             items = tuple(_stored(item) for item in data["items"])
--- a/pimentogap/types/__init__.py
+++ b/pimentogap/types/__init__.py
@@ -26,13 +26,6 @@
     VmState,
 )
 from pimentogap.types._http import HttpRequest, HttpResponse
-from pimentogap.types._outcomes import (
-    HTTP_STATUS_BY_CODE,
-    Refusal,
-    RefusalCode,
-    RunState,
-    not_run,
-)
 from pimentogap.types._orders import (
     CloseGroup,
     JoinGroup,
@@ -44,6 +37,13 @@
     OrderUnanswered,
     StageWeights,
 )
+from pimentogap.types._outcomes import (
+    HTTP_STATUS_BY_CODE,
+    Refusal,
+    RefusalCode,
+    RunState,
+    not_run,
+)
 from pimentogap.types._serving import (
     Backend,
     BackendAnswer,
@@ -52,8 +52,8 @@
     EngineLoad,
     EngineSpec,
     KeyHolder,
-    MemberState,
     Membership,
+    MemberState,
     ModelSpec,
     RequestNeeds,
     Route,
