Report suspicions to the leader, and stage what a domain is likely to need

Cause: the leader learned of a silent group only from its own requests, a sixth of the traffic; and a domain whose spare for the larger model was used up kept a spare for the smaller one, so that the next repair loaded 16 s. Change: daemons report silent heads to the leader over gRPC; spares are staged by the members that each model's groups have in the domain.

--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -23,11 +23,12 @@
 class Holding:
     """What a lease object said when it was last seen to change."""
 
-    __slots__ = ("holder", "term", "version", "seen_at")
+    __slots__ = ("holder", "term", "address", "version", "seen_at")
 
-    def __init__(self, holder, term, version, seen_at):
-        self.holder = holder
-        self.term = term
+    def __init__(self, value, version, seen_at):
+        self.holder = value.get("holder", "")
+        self.term = value.get("term", 0)
+        self.address = value.get("address", "")
         self.version = version
         self.seen_at = seen_at
 
@@ -43,10 +44,12 @@
 
     name = "lease"
     requires = ("store",)
-    __slots__ = ("_id", "_kernel", "_store", "_seen", "_held_until", "term")
+    __slots__ = ("_id", "_address", "_kernel", "_store", "_seen", "_held_until", "term")
 
-    def __init__(self, daemon_id):
+    def __init__(self, daemon_id, address):
+        """Compete as ``daemon_id``, which other daemons reach at ``address``."""
         self._id = daemon_id
+        self._address = address
         self._kernel = None
         self._store = None
         self._seen = None
@@ -73,6 +76,11 @@
         """Tell whether this daemon may give orders now."""
         return _boot_time() < self._held_until
 
+    @property
+    def leader_address(self):
+        """Return where the leader accepts calls; empty while none is known."""
+        return self._seen.address if self._seen is not None else ""
+
     async def _compete(self):
         clock = self._kernel.clock
         while True:
@@ -95,11 +103,9 @@
         if stored is None:
             await self._take(0, 0)
             return
-        value = stored.value or {}
-        holder, term = value.get("holder", ""), value.get("term", 0)
         seen = self._seen
         if seen is None or seen.version < stored.version:
-            seen = self._seen = Holding(holder, term, stored.version, now)
+            seen = self._seen = Holding(stored.value or {}, stored.version, now)
         if seen.holder in ("", self._id) or now - seen.seen_at >= LEASE_S:
             await self._take(seen.version, seen.term)
 
@@ -114,12 +120,18 @@
 
     async def _write(self, version, term):
         asked_at = _boot_time()
-        value = {"holder": self._id, "term": term, "at": round(asked_at, 3)}
+        value = {
+            "holder": self._id,
+            "term": term,
+            "address": self._address,
+            # Makes each renewal a change, which others see as a new revision.
+            "renewal": round(asked_at, 3),
+        }
         call = Put(COLLECTION, OBJECT, value, version)
         match await self._store.write(call, give_up_after_s=WRITE_GIVE_UP_S):
             case Written(revision):
                 now = self._kernel.clock.time()
-                self._seen = Holding(self._id, term, revision, now)
+                self._seen = Holding(value, revision, now)
                 self._held_until = asked_at + LEASE_S - MARGIN_S
                 return True
             case Conflict(current):
@@ -131,11 +143,8 @@
     def _holding(self, current):
         if current is None:
             return None
-        value = current.value or {}
         now = self._kernel.clock.time()
-        holder, term = value.get("holder", ""), value.get("term", 0)
-        # An older life of this daemon does not count as somebody else.
-        return Holding(holder, term, current.version, now)
+        return Holding(current.value or {}, current.version, now)
 
 
 def _boot_time():
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -47,6 +47,7 @@
 # Loads before the first request take a tenth of the time and are not counted.
 FREE_LOADS_S = 9.0
 PROBE_INTERVAL_S = 0.6
+ALARM_S = 0.4
 
 
 class Forming:
@@ -105,6 +106,7 @@
         "_last_model_by_id",
         "_lost_ids",
         "_probed_at",
+        "_alarmed_until_by_id",
         "_staging_by_id",
         "_started_at",
         "_list_size",
@@ -139,6 +141,7 @@
         self._unsettled_until_by_id = {}
         self._lost_ids = {}
         self._probed_at = {}
+        self._alarmed_until_by_id = {}
         self._staging_by_id = {}
 
     async def start(self, kernel):
@@ -154,6 +157,11 @@
     async def stop(self):
         """Do nothing; the kernel ends the tasks."""
 
+    def alarm(self, backend_id):
+        """Take a suspicion of another daemon; the members are asked at the next turn."""
+        now = self._kernel.clock.time()
+        self._alarmed_until_by_id[backend_id] = now + ALARM_S
+
     async def _run(self):
         clock = self._kernel.clock
         while True:
@@ -233,7 +241,7 @@
             service.engine, sizes_by_domain, spares=SPARES_FOR_EACH_DOMAIN
         )
         self._form(service, free, counts, targets)
-        self._stage_spares(service, free)
+        self._stage_spares(service, free, groups)
 
     def _note_models(self, backends):
         for backend in backends:
@@ -402,38 +410,59 @@
         served = self._kernel.get("forwarding").served
         return self._settings.first_start and age_s < FREE_LOADS_S and not served
 
-    def _stage_spares(self, service, free):
+    def _stage_spares(self, service, free, groups):
         """Have weights loaded onto hosts in no group, for the next repair."""
-        by_domain = {}
         forming = {id_ for f in self._forming_by_key.values() for id_ in f.members}
+        spares_by_domain = {}
         for backend in free:
             if backend.id not in forming and backend.membership is None:
-                by_domain.setdefault(backend.domain, []).append(backend)
-        for spares in by_domain.values():
-            self._stage_in_domain(service, spares)
-
-    def _stage_in_domain(self, service, spares):
-        models = sorted(service.engine.models, key=lambda spec: -spec.size)
-        have = {spec.name: 0 for spec in models}
-        empty = []
+                spares_by_domain.setdefault(backend.domain, []).append(backend)
+        names = [spec.name for spec in service.engine.models]
+        for domain, spares in spares_by_domain.items():
+            members = Counter(
+                group.model
+                for group in groups.values()
+                for item in group.members_by_rank.values()
+                if item.domain == domain
+            )
+            # One more each, so that a model without a group there still counts.
+            weights = {name: members[name] + 1 for name in names}
+            self._stage_in_domain(service, spares, weights)
+
+    def _stage_in_domain(self, service, spares, weights):
+        """Have the spares of a domain hold what its groups are most likely to need.
+
+        :param weights: for each model, the members that its groups have there.
+        """
+        held = Counter()
+        unsure = []
         for backend in sorted(spares, key=lambda item: item.id):
-            known = self._staging_by_id.get((backend.id, backend.born_ms))
-            names = [name for name in (*backend.staged, known) if name in have]
+            asked = self._staging_by_id.get((backend.id, backend.born_ms))
+            names = [name for name in (asked, *backend.staged) if name in weights]
             if names:
-                have[names[0]] += 1
-            else:
-                empty.append(backend)
-        for backend in empty:
-            spec = min(models, key=lambda item: have[item.name])
-            have[spec.name] += 1
-            if self._admit_loads(service, 1):
-                self._staging_by_id[(backend.id, backend.born_ms)] = spec.name
-                self._ask(backend, StageWeights(spec.name))
+                held[names[0]] += 1
+            unsure.append((backend, names[0] if names else None))
+        wanted = Counter()
+        for _ in spares:
+            name = max(weights, key=lambda item: weights[item] / (wanted[item] + 1))
+            wanted[name] += 1
+        for backend, has in unsure:
+            if has is not None and held[has] <= wanted[has]:
+                continue
+            missing = [name for name in wanted if held[name] < wanted[name]]
+            if not missing or not self._admit_loads(service, 1):
+                continue
+            held[missing[0]] += 1
+            held[has] -= 1
+            self._staging_by_id[(backend.id, backend.born_ms)] = missing[0]
+            self._ask(backend, StageWeights(missing[0]))
 
     def _probe_if_silent(self, group):
         """Ask every member of a group whose head stopped answering whether it lives."""
         now = self._kernel.clock.time()
-        if not self._placement.load(group.head).is_suspect(now):
+        if not self._placement.load(group.head).is_suspect(now) and (
+            now >= self._alarmed_until_by_id.get(group.head.id, 0.0)
+        ):
             return
         key = (group.name, group.epoch)
         if now - self._probed_at.get(key, 0.0) < PROBE_INTERVAL_S:
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -284,11 +284,18 @@
             case NotSent() | Lost() | Stalled() | TimedOut():
                 load.suspect(now)
                 log.info("backend suspect", backend=backend.id, outcome=repr(outcome))
+                self._raise_alarm(backend)
             case NotRun(status=421):
                 load.suspect(now)
             case NotRun(culprit=culprit) if culprit:
                 load.suspect(now)
                 log.info("backend suspect", backend=backend.id, culprit=culprit)
+                self._raise_alarm(backend)
+
+    def _raise_alarm(self, backend):
+        alarms = self._kernel.find("alarms")
+        if alarms is not None and backend.membership is not None:
+            alarms.suspect(backend)
 
     def _conclude(self, request, admitted, sends, outcome):
         """Give the caller the final answer that ``outcome`` calls for."""
@@ -307,7 +314,7 @@
                 response.send(body)
                 response.finish()
                 self._log(request, admitted, sends, "backend_failed", status)
-            case Full(load):
+            case Full():
                 self._refuse_not_run(
                     request, admitted, sends, "full", RETRY_AFTER_FULL_S
                 )
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -9,6 +9,7 @@
 
 from logbook import Logger
 
+from pimentogap.alarms import AlarmService
 from pimentogap.directory import DirectoryService, ServingConfigurationService
 from pimentogap.errors import InvalidDocument
 from pimentogap.formation import FormationService, LeaseService
@@ -17,6 +18,7 @@
 from pimentogap.kernel import Kernel
 from pimentogap.logs import install_decision_log
 from pimentogap.metrics import MetricService
+from pimentogap.peers.grpc import GrpcTransport
 from pimentogap.placement import PlacementService
 from pimentogap.platform import (
     BACKEND_COLLECTION,
@@ -75,7 +77,9 @@
     return asyncio.run(_run(settings, options.settings, sink))
 
 
-def assemble_front(settings, *, store_transport, engines, pool, codec, seed=None):
+def assemble_front(
+    settings, *, store_transport, engines, pool, codec, peer_transport, seed=None
+):
     """Return a `Kernel` with every service of the front daemon."""
     kernel = Kernel(seed=seed)
     for service in (
@@ -87,8 +91,9 @@
         DirectoryService(BACKEND_COLLECTION, decode_backend),
         PlacementService(),
         ForwardingService(settings, pool, codec),
-        LeaseService(settings.id),
+        LeaseService(settings.id, settings.inner_address),
         FormationService(settings, engines),
+        AlarmService(settings.inner_address, peer_transport),
         IngressService(settings, codec),
     ):
         kernel.register(service)
@@ -104,6 +109,8 @@
         engines=HttpEngines(HttpClient()),
         pool=BackendPool(),
         codec=PlatformHeaders(),
+        # The proof keeps apart fleets whose addresses were used by another one.
+        peer_transport=GrpcTransport(settings.id, settings.store_address),
     )
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -31,3 +31,8 @@
     retry_slack: float = 0.0
     load_window_s: float = 5.0
     max_descriptors: int = 1024
+
+    @property
+    def inner_address(self):
+        """Return where other daemons reach this one."""
+        return f"{self.ip}:{self.inner_port}"
