Emulate the platform in one process, and prove the front daemon on it

Change: an emulator of the object store and of model and plain replicas by the published protocol, with faults and records of broken promises, and a fleet on a paused clock; scenarios for groups, requests, configuration and store outages.

--- /dev/null
+++ b/features/platform/configuration.feature
@@ -0,0 +1,46 @@
+Feature: The configuration on the platform
+
+  Scenario: A daemon that knows no configuration refuses as not run
+    Given no configuration has been written
+    When 2 seconds pass
+    Then a look-up at any daemon gets 503
+
+  Scenario: A key that was taken away is refused within the bound
+    Given a platform with 1 fabric domains of 8 and 3 daemons
+    And its groups are open
+    When version 2 of the configuration has no key
+    And 1 seconds pass
+    Then a look-up at any daemon gets 401
+
+  Scenario: An older version never replaces a newer one
+    Given a platform with 1 fabric domains of 8 and 3 daemons
+    And its groups are open
+    When version 5 of the configuration is written
+    And 1 seconds pass
+    And version 3 of the configuration is written
+    And 1 seconds pass
+    Then the version in force is 5
+
+  Scenario: A configuration that cannot be read leaves the last one in force
+    Given a platform with 1 fabric domains of 8 and 3 daemons
+    And its groups are open
+    When a configuration that cannot be read is written
+    And 1 seconds pass
+    Then the version in force is 1
+    And a look-up at any daemon gets 200
+
+  Scenario: A version that was written while the history was dropped is seen
+    Given a platform with 1 fabric domains of 8 and 3 daemons
+    And its groups are open
+    When version 4 of the configuration is written
+    And the store forgets its history
+    And 2 seconds pass
+    Then the version in force is 4
+
+  Scenario: Settings and entries from others
+    Then settings without platformInfo are refused, and the problem names it
+    And settings with an unknown field are accepted
+    And the entry {service: x} names no backend server
+    And the entry {service: x, addr: 1, zone: z, state: ready} names no backend server
+    And the entry {service: x, addr: "a:1", zone: z, state: [ready]} names no backend server
+    And the entry [1, 2] names no backend server
--- /dev/null
+++ b/features/platform/groups.feature
@@ -0,0 +1,70 @@
+Feature: Model groups on the platform
+
+  Background:
+    Given a platform with 3 fabric domains of 8 and 3 daemons
+    And its groups are open
+
+  Scenario: Groups of every model are open before the first request
+    Then there are at least 3 open groups of model large
+    And there are at least 3 open groups of model small
+
+  Scenario: A lost member is replaced by a spare that has the weights
+    Given traffic has begun
+    When 60 seconds pass
+    And a member of a group of model large is lost for good
+    And 6 streams of model large are requested
+    And 7 seconds pass
+    Then there are at least 3 open groups of model large
+    And no promise about groups was broken
+
+  Scenario: A lost head is replaced once its entry lapses
+    Given traffic has begun
+    When 60 seconds pass
+    And the head of a group of model large is lost for good
+    And 4 seconds pass
+    And its entry lapses
+    And 6 seconds pass
+    Then there are at least 3 open groups of model large
+    And no promise about groups was broken
+
+  Scenario: A new leader goes on with the groups that the former one was forming
+    Given traffic has begun
+    When 60 seconds pass
+    And a member of a group of model large is lost for good
+    And its entry lapses
+    And 1 seconds pass
+    And a member of a group of model large is lost for good
+    And its entry lapses
+    And 1 seconds pass
+    And the leader is killed
+    And 30 seconds pass
+    Then there are at least 3 open groups of model large
+    And no promise about groups was broken
+
+  Scenario: Groups outlive a restart of every daemon
+    Given traffic has begun
+    When every daemon is killed and started again
+    And 3 seconds pass
+    And 6 streams of model large are requested
+    And 8 seconds pass
+    Then every stream is whole, each event once
+    And fewer than 1 model loads were started after the first request
+    And no promise about groups was broken
+
+  Scenario: Orders that are carried out late break no promise
+    Given traffic has begun
+    When 0.5 of the orders are carried out late and not answered
+    And a member of a group of model large is lost for good
+    And its entry lapses
+    And a member of a group of model small is lost for good
+    And its entry lapses
+    And 0.0 of the orders are carried out late and not answered
+    And 40 seconds pass
+    Then there are at least 3 open groups of model small
+    And no promise about groups was broken
+
+  Scenario: Nothing new reaches a group with a draining member
+    Given traffic has begun
+    When a replica of a group of model large says that it drains
+    And 1.5 seconds pass
+    Then no new request reaches the draining group
--- /dev/null
+++ b/features/platform/requests.feature
@@ -0,0 +1,42 @@
+Feature: Requests on the platform
+
+  Background:
+    Given a platform with 3 fabric domains of 8 and 3 daemons
+    And its groups are open
+
+  Scenario: Streams of a group that loses a member go on elsewhere
+    When 9 streams of model large are requested
+    And 0.6 seconds pass
+    And a member of a group of model large is lost for good
+    And 8 seconds pass
+    Then every stream is whole, each event once
+    And no stream paused for more than 1.5 seconds
+    And the workspace at the replicas is the one that holds the key
+
+  Scenario: A booking whose answer is lost is never run twice
+    When all replicas of the plain service lose 0.5 of their answers
+    And 40 bookings are requested
+    And 3 seconds pass
+    Then every booking has a final answer
+    And no booking ran twice
+    And every booking that was refused with a promise did not run
+
+  Scenario: A booking that a replica refuses is refused truthfully
+    When all replicas of the plain service refuse 1.0 of their requests
+    And 10 bookings are requested
+    And 2 seconds pass
+    Then every booking has a final answer
+    And every booking that was refused with a promise did not run
+
+  Scenario: A booking does not wait for a replica that cannot be reached
+    When replica 0 of the plain service is dark
+    And 20 bookings are requested
+    And 2 seconds pass
+    Then at least 20 bookings succeed
+    And no booking ran twice
+
+  Scenario: A look-up is repeated when its answer is lost
+    When all replicas of the plain service lose 0.1 of their answers
+    And 5 look-ups are requested
+    And 2 seconds pass
+    Then every look-up succeeds
--- /dev/null
+++ b/features/platform/store.feature
@@ -0,0 +1,30 @@
+Feature: The platform's store fails
+
+  Background:
+    Given a platform with 3 fabric domains of 8 and 3 daemons
+    And its groups are open
+
+  Scenario Outline: Requests are served while the store is away
+    When the store is <state>
+    And 6 seconds pass
+    And 6 streams of model large are requested
+    And 8 seconds pass
+    Then every stream is whole, each event once
+
+    Examples:
+      | state  |
+      | down   |
+      | silent |
+
+  Scenario: Entries that lapsed during an outage are believed until they return
+    When the store is down
+    And 4 seconds pass
+    And every entry of model replicas lapses
+    And the store is up
+    And 1.5 seconds pass
+    And 6 streams of model large are requested
+    And every model replica writes its entry again
+    And 8 seconds pass
+    Then every stream is whole, each event once
+    And fewer than 1 model loads were started after the first request
+    And no promise about groups was broken
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,327 @@
+"""Steps on front daemons before an emulated platform."""
+
+import yaml
+from behave import given, then, when
+
+from pimentogap.errors import InvalidDocument
+from pimentogap.platform import decode_backend, load_platform_settings
+from standins.emulator import (
+    EmulatedFleet,
+    configuration_document,
+    settings_document,
+)
+
+FORMED_WITHIN_S = 6.0
+
+
+@given("a platform with {domains:d} fabric domains of {size:d} and {daemons:d} daemons")
+def given_platform(context, domains, size, daemons):
+    async def start():
+        fleet = EmulatedFleet()
+        await fleet.start(daemons=daemons, domains=domains, domain_size=size)
+        return fleet
+
+    context.paused.fleet = context.paused.run(start())
+
+
+@given("its groups are open")
+def given_open(context):
+    context.paused.wait(FORMED_WITHIN_S)
+    assert context.paused.fleet.open_groups("large")
+    assert context.paused.fleet.open_groups("small")
+
+
+@given("traffic has begun")
+def given_traffic(context):
+    request = begin(context, "GET", "/look/first")
+    context.paused.wait(0.5)
+    assert request.response.status == 200
+
+
+@given("no configuration has been written")
+def given_no_configuration(context):
+    async def start():
+        fleet = EmulatedFleet()
+        await fleet.start_daemon("front-0")
+        return fleet
+
+    context.paused.fleet = context.paused.run(start())
+
+
+@when("{seconds:g} seconds pass")
+def when_pass(context, seconds):
+    context.paused.wait(seconds)
+
+
+@when("{count:d} streams of model {model} are requested")
+def when_streams(context, count, model):
+    names = sorted(context.paused.fleet.kernels_by_name)
+    context.streams = [
+        begin(context, "POST", "/draft/x", daemon=names[i % len(names)], model=model)
+        for i in range(count)
+    ]
+
+
+@when("{count:d} bookings are requested")
+def when_bookings(context, count):
+    names = sorted(context.paused.fleet.kernels_by_name)
+    context.bookings = [
+        begin(context, "POST", "/book/x", daemon=names[i % len(names)])
+        for i in range(count)
+    ]
+
+
+@when("{count:d} look-ups are requested")
+def when_lookups(context, count):
+    context.lookups = [begin(context, "GET", "/look/x") for _ in range(count)]
+
+
+@when("a member of a group of model {model} is lost for good")
+def when_member_lost(context, model):
+    fleet = context.paused.fleet
+    head = fleet.open_groups(model)[0]
+    context.lost = head.place.members[-1]
+    fleet.lose_replica(context.lost)
+
+
+@when("the head of a group of model {model} is lost for good")
+def when_head_lost(context, model):
+    fleet = context.paused.fleet
+    context.lost = fleet.open_groups(model)[0].id
+    fleet.lose_replica(context.lost)
+
+
+@when("its entry lapses")
+def when_lapses(context):
+    context.paused.fleet.store.remove("servers", context.lost)
+
+
+@when("the leader is killed")
+def when_leader_killed(context):
+    fleet = context.paused.fleet
+    (leader,) = fleet.leaders()
+    context.paused.run(fleet.kill_daemon(leader))
+
+
+@when("every daemon is killed and started again")
+def when_all_killed(context):
+    fleet = context.paused.fleet
+
+    async def restart():
+        names = list(fleet.kernels_by_name)
+        for name in names:
+            await fleet.kill_daemon(name)
+        for name in names:
+            await fleet.start_daemon(name)
+
+    context.paused.run(restart())
+
+
+@when("a replica of a group of model {model} says that it drains")
+def when_drains(context, model):
+    fleet = context.paused.fleet
+    head = fleet.open_groups(model)[0]
+    context.draining = head.place.members[-1]
+    replica = fleet.replicas_by_id[context.draining]
+    replica.state = "draining"
+    replica.publish()
+    context.drained_head = head.id
+
+
+@when("the store is {state}")
+def when_store(context, state):
+    faults = context.paused.fleet.store.faults
+    faults.down = state == "down"
+    faults.silent = state == "silent"
+
+
+@when("every entry of model replicas lapses")
+def when_all_lapse(context):
+    fleet = context.paused.fleet
+    for id_ in fleet.replicas_by_id:
+        fleet.store.remove("servers", id_)
+
+
+@when("every model replica writes its entry again")
+def when_all_return(context):
+    for replica in context.paused.fleet.replicas_by_id.values():
+        replica.publish()
+
+
+@when("the store forgets its history")
+def when_forgets(context):
+    context.paused.fleet.store.drop_history()
+
+
+@when("version {version:d} of the configuration has no key")
+def when_keys_gone(context, version):
+    document = configuration_document(version, keys=())
+    context.paused.fleet.store.put("config", "main", document)
+
+
+@when("version {version:d} of the configuration is written")
+def when_version(context, version):
+    document = configuration_document(version)
+    context.paused.fleet.store.put("config", "main", document)
+
+
+@when("a configuration that cannot be read is written")
+def when_unreadable(context):
+    context.paused.fleet.store.put("config", "main", {"version": 9, "routes": 7})
+
+
+@when("all replicas of the plain service lose {share:g} of their answers")
+def when_answers_lost(context, share):
+    for replica in context.paused.fleet.plain_by_id.values():
+        replica.lose_answers = share
+
+
+@when("all replicas of the plain service refuse {share:g} of their requests")
+def when_refusals(context, share):
+    for replica in context.paused.fleet.plain_by_id.values():
+        replica.refusals = share
+
+
+@when("replica {index:d} of the plain service is dark")
+def when_plain_dark(context, index):
+    context.paused.fleet.plain_by_id[f"p-{index}"].dark = True
+
+
+@when("{share:g} of the orders are carried out late and not answered")
+def when_orders_late(context, share):
+    for replica in context.paused.fleet.replicas_by_id.values():
+        replica.late_orders = share
+
+
+@then("there are at least {count:d} open groups of model {model}")
+def then_groups(context, count, model):
+    heads = [head.id for head in context.paused.fleet.open_groups(model)]
+    assert len(heads) >= count, heads
+
+
+@then("no promise about groups was broken")
+def then_no_breach(context):
+    records = context.paused.fleet.records
+    assert not records.two, records.two
+    assert not records.partial, records.partial
+
+
+@then("every stream is whole, each event once")
+def then_streams_whole(context):
+    for stream in context.streams:
+        assert stream.response.ended, (stream.id, stream.response.status)
+        assert stream.events() == list(range(1, 28)), stream.events()
+
+
+@then("no stream paused for more than {seconds:g} seconds")
+def then_no_pause(context, seconds):
+    for stream in context.streams:
+        times = stream.response.times
+        pauses = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert max(pauses) <= seconds, (stream.id, max(pauses))
+
+
+@then("no booking ran twice")
+def then_not_twice(context):
+    records = context.paused.fleet.records
+    for booking in context.bookings:
+        assert len(records.runs_of(booking.id)) <= 1, booking.id
+
+
+@then("every booking that was refused with a promise did not run")
+def then_promise(context):
+    records = context.paused.fleet.records
+    for booking in context.bookings:
+        if booking.response.status in (408, 421, 429, 503):
+            assert not records.runs_of(booking.id), booking.id
+
+
+@then("every booking has a final answer")
+def then_booked(context):
+    for booking in context.bookings:
+        assert booking.response.ended, booking.id
+
+
+@then("at least {count:d} bookings succeed")
+def then_succeed(context, count):
+    good = [b for b in context.bookings if b.response.status == 200]
+    assert len(good) >= count, [b.response.status for b in context.bookings]
+
+
+@then("every look-up succeeds")
+def then_lookups(context):
+    statuses = [lookup.response.status for lookup in context.lookups]
+    assert set(statuses) == {200}, statuses
+
+
+@then("a look-up at any daemon gets {status:d}")
+def then_lookup_status(context, status):
+    for name in sorted(context.paused.fleet.kernels_by_name):
+        request = begin(context, "GET", "/look/x", daemon=name)
+        context.paused.wait(1.0)
+        assert request.response.status == status, (name, request.response.status)
+
+
+@then("the version in force is {version:d}")
+def then_version(context, version):
+    for kernel in context.paused.fleet.kernels_by_name.values():
+        current = kernel.get("serving_configuration").current
+        assert current.version == version, current.version
+
+
+@then("no new request reaches the draining group")
+def then_nothing_new(context):
+    fleet = context.paused.fleet
+    before = len(fleet.records.runs)
+    for _ in range(20):
+        begin(context, "POST", "/draft/x")
+    context.paused.wait(4.0)
+    late = [run.replica for run in fleet.records.runs[before:]]
+    assert late and context.drained_head not in late, late
+
+
+@then("fewer than {count:d} model loads were started after the first request")
+def then_loads(context, count):
+    loads = context.paused.fleet.records.loads
+    assert len(loads) < count, loads
+
+
+@then("the workspace at the replicas is the one that holds the key")
+def then_workspace(context):
+    for stream in context.streams:
+        for run in context.paused.fleet.records.runs_of(stream.id):
+            assert run.workspace == "w1", run
+
+
+@then("the entry {entry} names no backend server")
+def then_no_backend(context, entry):
+    assert decode_backend("i-1", yaml.safe_load(entry)) is None
+
+
+@then("settings without {field} are refused, and the problem names it")
+def then_settings_refused(context, field):
+    document = settings_document("front-0")
+    del document[field]
+    try:
+        load_platform_settings(yaml.safe_dump(document))
+    except InvalidDocument as error:
+        assert field in str(error), error
+    else:
+        raise AssertionError("the settings were accepted")
+
+
+@then("settings with an unknown field are accepted")
+def then_settings_accepted(context):
+    document = {**settings_document("front-0"), "new": {"field": 1}}
+    assert load_platform_settings(yaml.safe_dump(document)).id == "front-0"
+
+
+def begin(context, method, path, **options):
+    """Send a request on the paused clock."""
+
+    async def start():
+        return context.paused.fleet.begin(method, path, **options)
+
+    request = context.paused.run(start())
+    context.paused.tasks.append(request.task)
+    return request
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -1,7 +1,5 @@
 """The lease that makes one daemon the leader, kept in the platform's store."""
 
-import time
-
 from logbook import Logger
 
 from pimentogap.errors import StoreError
@@ -74,7 +72,7 @@
 
     def is_held(self):
         """Tell whether this daemon may give orders now."""
-        return _boot_time() < self._held_until
+        return self._kernel.clock.boot_time() < self._held_until
 
     @property
     def leader_address(self):
@@ -119,7 +117,7 @@
             log.warning("lease not renewed", term=self.term)
 
     async def _write(self, version, term):
-        asked_at = _boot_time()
+        asked_at = self._kernel.clock.boot_time()
         value = {
             "holder": self._id,
             "term": term,
@@ -145,7 +143,3 @@
             return None
         now = self._kernel.clock.time()
         return Holding(current.value or {}, current.version, now)
-
-
-def _boot_time():
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -158,7 +158,7 @@
         """Do nothing; the kernel ends the tasks."""
 
     def alarm(self, backend_id):
-        """Take a suspicion of another daemon; the members are asked at the next turn."""
+        """Ask the members of the head ``backend_id`` at the next turn."""
         now = self._kernel.clock.time()
         self._alarmed_until_by_id[backend_id] = now + ALARM_S
 
--- a/pimentogap/kernel/_clock.py
+++ b/pimentogap/kernel/_clock.py
@@ -11,14 +11,17 @@
     the package reads another clock.
     """
 
-    __slots__ = ("_wall_origin_s",)
+    __slots__ = ("_wall_origin_s", "_boot_time")
 
-    def __init__(self, *, wall_origin_s=None):
+    def __init__(self, *, wall_origin_s=None, boot_time=None):
         """Bind wall time to the loop's time.
 
         :param wall_origin_s: seconds since the epoch at loop time zero; the
             host's wall clock decides when it is left out.
+        :param boot_time: returns seconds, those of a suspension included; the
+            host's clock since its boot by default.
         """
+        self._boot_time = boot_time or _host_boot_time
         if wall_origin_s is None:
             wall_origin_s = time.time() - time.monotonic()
         self._wall_origin_s = wall_origin_s
@@ -31,6 +34,10 @@
         """Return seconds since the epoch, for records that people read."""
         return self._wall_origin_s + self.time()
 
+    def boot_time(self):
+        """Return seconds that go on while the VM is suspended, unlike `time`."""
+        return self._boot_time()
+
     async def sleep(self, delay_s):
         """Suspend the calling task for ``delay_s`` seconds."""
         await asyncio.sleep(delay_s)
@@ -38,3 +45,7 @@
     def timeout(self, delay_s):
         """Return a context manager that raises ``TimeoutError`` after ``delay_s``."""
         return asyncio.timeout(delay_s)
+
+
+def _host_boot_time():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -78,10 +78,18 @@
 
 
 def assemble_front(
-    settings, *, store_transport, engines, pool, codec, peer_transport, seed=None
+    settings,
+    *,
+    store_transport,
+    engines,
+    pool,
+    codec,
+    peer_transport,
+    clock=None,
+    seed=None,
 ):
-    """Return a `Kernel` with every service of the front daemon."""
-    kernel = Kernel(seed=seed)
+    """Return a `Kernel` with every service but the one that listens for callers."""
+    kernel = Kernel(clock=clock, seed=seed)
     for service in (
         MetricService(),
         StoreClient(store_transport, timeout_s=STORE_TIMEOUT_S),
@@ -94,7 +102,6 @@
         LeaseService(settings.id, settings.inner_address),
         FormationService(settings, engines),
         AlarmService(settings.inner_address, peer_transport),
-        IngressService(settings, codec),
     ):
         kernel.register(service)
     return kernel
@@ -103,15 +110,17 @@
 async def _run(settings, path, sink):
     loop = asyncio.get_running_loop()
     loop.create_task(_flush(sink))
+    codec = PlatformHeaders()
     kernel = assemble_front(
         settings,
         store_transport=ObjectTransport(HttpClient(), settings.store_address),
         engines=HttpEngines(HttpClient()),
         pool=BackendPool(),
-        codec=PlatformHeaders(),
+        codec=codec,
         # The proof keeps apart fleets whose addresses were used by another one.
         peer_transport=GrpcTransport(settings.id, settings.store_address),
     )
+    kernel.register(IngressService(settings, codec))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
--- /dev/null
+++ b/standins/emulator/__init__.py
@@ -0,0 +1,21 @@
+"""An emulator of the platform: its store, its replicas and their faults."""
+
+from standins.emulator._documents import configuration_document, settings_document
+from standins.emulator._fleet import EmulatedFleet, Request
+from standins.emulator._network import EmulatedNetwork
+from standins.emulator._plain import PlainReplica
+from standins.emulator._records import Records
+from standins.emulator._replicas import ModelReplica
+from standins.emulator._store import ObjectStore
+
+__all__ = [
+    "EmulatedFleet",
+    "EmulatedNetwork",
+    "ModelReplica",
+    "ObjectStore",
+    "PlainReplica",
+    "Records",
+    "Request",
+    "configuration_document",
+    "settings_document",
+]
--- /dev/null
+++ b/standins/emulator/_fleet.py
@@ -0,0 +1,251 @@
+"""A fleet of front daemons before an emulated platform, in one process."""
+
+import asyncio
+
+import yaml
+
+from pimentogap.forwarding import CallerRequest
+from pimentogap.kernel import Clock
+from pimentogap.platform import (
+    HttpEngines,
+    ObjectTransport,
+    PlatformHeaders,
+    load_platform_settings,
+)
+from pimentogap.programs import assemble_front
+from pimentogap.types import RequestNeeds
+from standins.emulator._documents import (
+    ENGINE,
+    HOST,
+    KEY,
+    LARGE_MODEL,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    configuration_document,
+    settings_document,
+)
+from standins.emulator._network import EmulatedNetwork, LocalCalls
+from standins.emulator._plain import PlainReplica
+from standins.emulator._records import Records
+from standins.emulator._replicas import ModelReplica
+from standins.emulator._store import ObjectStore
+
+STORE_ADDRESS = "store:1"
+ZONES = ("z-a", "z-b", "z-c")
+
+
+class Response:
+    """Takes the answer to one request, as a caller's connection does."""
+
+    __slots__ = ("begun", "ended", "aborted", "status", "headers", "body", "times")
+
+    def __init__(self):
+        self.begun = False
+        self.ended = False
+        self.aborted = False
+        self.status = None
+        self.headers = {}
+        self.body = b""
+        self.times = []
+
+    def begin(self, status, headers):
+        """Take the head of the answer."""
+        self.begun = True
+        self.status = status
+        self.headers = {name.lower(): value for name, value in headers}
+
+    def send(self, chunk):
+        """Take a part of the body."""
+        self.body += chunk
+
+    async def write(self, chunk):
+        """Take a part of the body, with the time at which it came."""
+        self.times.append(asyncio.get_running_loop().time())
+        self.body += chunk
+
+    def finish(self):
+        """Note that the answer is whole."""
+        self.ended = True
+
+    def abort(self):
+        """Note that the answer was cut off."""
+        self.aborted = True
+
+
+class Request:
+    """One request of a caller, and what came of it."""
+
+    __slots__ = ("id", "response", "task", "daemon")
+
+    def __init__(self, attempt_id, daemon):
+        self.id = attempt_id
+        self.response = Response()
+        self.task = None
+        self.daemon = daemon
+
+    def events(self):
+        """Return the numbers of the events that the caller got."""
+        lines = self.response.body.decode().split("\n")
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class EmulatedFleet:
+    """Daemons, a store and replicas; every part can be made to fail."""
+
+    __slots__ = (
+        "network",
+        "store",
+        "records",
+        "replicas_by_id",
+        "plain_by_id",
+        "kernels_by_name",
+        "_answers_by_address",
+        "_seed",
+        "_requests",
+    )
+
+    def __init__(self, *, seed=0):
+        self.network = EmulatedNetwork()
+        self.store = ObjectStore(seed=seed)
+        self.records = Records()
+        self.replicas_by_id = {}
+        self.plain_by_id = {}
+        self.kernels_by_name = {}
+        self._answers_by_address = {}
+        self._seed = seed
+        self._requests = 0
+        self.network.handlers_by_address[STORE_ADDRESS] = self.store
+
+    async def start(self, *, daemons=3, domains=2, domain_size=8, plain=3):
+        """Start replicas and daemons, and write the first configuration."""
+        self.store.put("config", "main", configuration_document(1))
+        for domain in range(domains):
+            for index in range(domain_size):
+                self.add_replica(f"d{domain}", index)
+        for index in range(plain):
+            self._add_plain(index)
+        for index in range(daemons):
+            await self.start_daemon(f"front-{index}")
+
+    def add_replica(self, domain, index):
+        """Start a model replica in a fabric domain and return it."""
+        id_ = f"i-{domain}-{index}"
+        replica = ModelReplica(
+            id_=id_,
+            service=MODEL_SERVICE,
+            address=f"{id_}:80",
+            zone=ZONES[len(self.replicas_by_id) % len(ZONES)],
+            domain=domain,
+            engine=ENGINE,
+            store=self.store,
+            records=self.records,
+            peers=self.replicas_by_id,
+            seed=self._seed,
+        )
+        self.network.handlers_by_address[replica.address] = replica
+        return replica
+
+    def _add_plain(self, index):
+        id_ = f"p-{index}"
+        replica = PlainReplica(
+            id_=id_,
+            service=PLAIN_SERVICE,
+            address=f"{id_}:80",
+            zone=ZONES[index % len(ZONES)],
+            store=self.store,
+            records=self.records,
+            seed=self._seed,
+        )
+        self.plain_by_id[id_] = replica
+        self.network.handlers_by_address[replica.address] = replica
+
+    async def start_daemon(self, name):
+        """Start a daemon, or start it again with nothing remembered."""
+        document = settings_document(name, ip=name, store=STORE_ADDRESS)
+        settings = load_platform_settings(yaml.safe_dump(document))
+        client = self.network.client(name)
+        kernel = assemble_front(
+            settings,
+            store_transport=ObjectTransport(client, STORE_ADDRESS),
+            engines=HttpEngines(client),
+            pool=client,
+            codec=PlatformHeaders(),
+            peer_transport=LocalCalls(self._answers_by_address),
+            clock=Clock(boot_time=asyncio.get_running_loop().time),
+            seed=self._seed,
+        )
+        self.kernels_by_name[name] = kernel
+        await kernel.start()
+
+    async def kill_daemon(self, name):
+        """End a daemon at once, without an orderly stop."""
+        await self.kernels_by_name.pop(name).abort()
+
+    async def stop_daemon(self, name):
+        """Stop a daemon in order."""
+        await self.kernels_by_name.pop(name).stop()
+
+    async def close(self):
+        """End everything."""
+        for name in list(self.kernels_by_name):
+            await self.kill_daemon(name)
+        for replica in self.replicas_by_id.values():
+            replica.stop_tasks()
+
+    def lose_replica(self, id_):
+        """Make a replica silent for good; its entry lapses when told so."""
+        self.replicas_by_id[id_].dark = True
+
+    def begin(self, method, path, *, daemon="front-0", model=LARGE_MODEL, **more):
+        """Send a request to ``daemon`` and return the `Request`.
+
+        :param model: the model that a stream asks for.
+        :param more: fields of `RequestNeeds` that differ from the usual ones.
+        """
+        self._requests += 1
+        request = Request(f"a{self._requests:04d}", daemon)
+        streams = path.startswith("/draft/")
+        needs = {
+            "attempt_id": request.id,
+            "deadline_s": 8.0,
+            "key": KEY,
+            "model": model if streams else "",
+            **more,
+        }
+        headers = [("X-Pimentogap-Attempt-Id", request.id), ("Host", HOST)]
+        if streams:
+            headers.append(("X-Pimentogap-Model", model))
+            headers.append(("X-Pimentogap-Token-Count", "1400,135"))
+        call = CallerRequest(
+            method=method,
+            path=path,
+            host=HOST,
+            headers=headers,
+            body=b"",
+            needs=RequestNeeds(**needs),
+            received_at=asyncio.get_running_loop().time(),
+        )
+        call.response = request.response
+        forwarding = self.kernels_by_name[daemon].get("forwarding")
+        request.task = asyncio.ensure_future(forwarding.serve(call))
+        return request
+
+    def open_groups(self, model):
+        """Return the heads that are open for ``model``, as the replicas have it."""
+        return [
+            replica
+            for replica in self.replicas_by_id.values()
+            if replica.place is not None
+            and replica.place.rank == 0
+            and replica.place.state == "open"
+            and replica.place.model == model
+            and not replica.dark
+        ]
+
+    def leaders(self):
+        """Return the names of the daemons that hold the lease."""
+        return [
+            name
+            for name, kernel in self.kernels_by_name.items()
+            if kernel.get("lease").is_held()
+        ]
--- /dev/null
+++ b/standins/emulator/_plain.py
@@ -0,0 +1,91 @@
+"""A replica of a plain service, some of whose requests may not be repeated."""
+
+import asyncio
+import random
+
+from standins._network import AbandonConnection
+from standins.emulator._records import Run
+
+WORK_S = 0.03
+SILENCE_S = 3600.0
+
+
+class PlainReplica:
+    """One replica. Faults: ``dark``, shares of lost answers, errors and refusals."""
+
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "zone",
+        "dark",
+        "lose_answers",
+        "errors",
+        "refusals",
+        "work_s",
+        "_store",
+        "_records",
+        "_random",
+    )
+
+    def __init__(self, *, id_, service, address, zone, store, records, seed):
+        self.id = id_
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.dark = False
+        self.lose_answers = 0.0
+        self.errors = 0.0
+        self.refusals = 0.0
+        self.work_s = WORK_S
+        self._store = store
+        self._records = records
+        self._random = random.Random(f"{id_}-{seed}")
+        self.publish("ready")
+
+    def publish(self, state):
+        """Write the entry of the platform's list."""
+        entry = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "coldLeftMs": 0,
+            "seq": 1,
+            "born": 1,
+        }
+        self._store.put("servers", self.id, entry)
+
+    async def handle(self, request, reply, source=""):
+        """Answer one HTTP request."""
+        if self.dark:
+            await asyncio.sleep(SILENCE_S)
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        if headers.get("x-pimentogap-expect-replica", self.id) != self.id:
+            reply.start(421, {"Content-Length": "0"})
+            return
+        if self._random.random() < self.refusals:
+            refusal = {"X-Pimentogap-Not-Executed": "1", "Content-Length": "0"}
+            reply.start(503, refusal)
+            return
+        await self._run(headers, reply)
+
+    async def _run(self, headers, reply):
+        attempt_id = headers.get("x-pimentogap-attempt-id", "")
+        now = asyncio.get_running_loop().time()
+        workspace = headers.get("x-pimentogap-tenant")
+        self._records.runs.append(Run(attempt_id, self.id, workspace, now))
+        await asyncio.sleep(self.work_s)
+        if self._random.random() < self.lose_answers:
+            raise AbandonConnection
+        failed = self._random.random() < self.errors
+        body = f"answer to {attempt_id}".encode()
+        answer = {
+            "Content-Length": str(len(body)),
+            "X-Pimentogap-Attempt-Id": attempt_id,
+            "X-Pimentogap-Replica-Seal": f"seal-{self.id}",
+        }
+        reply.start(500 if failed else 200, answer)
+        await reply.data(body)
--- /dev/null
+++ b/standins/emulator/_replicas.py
@@ -0,0 +1,404 @@
+"""A model replica of the platform: groups, orders, batches and streams."""
+
+import asyncio
+import json
+import random
+
+from standins._network import AbandonConnection, split_path
+from standins.emulator._records import Run
+
+JOIN_AGAIN_S = 0.2
+EARLY_LOAD_X = 0.1
+EVENT_TOKENS = 5
+PUBLISH_LAG_S = 0.05
+SILENCE_S = 3600.0
+
+
+class Place:
+    """A replica's place in a group, with the whole list of the members."""
+
+    __slots__ = ("group", "epoch", "rank", "state", "model", "members")
+
+    def __init__(self, order, replica_id):
+        self.group = order["group"]
+        self.epoch = order["epoch"]
+        self.rank = order["members"].index(replica_id)
+        self.state = "joining"
+        self.model = order["model"]
+        self.members = tuple(order["members"])
+
+
+class ModelReplica:
+    """One replica; ``peers_by_id`` holds every replica of the service.
+
+    Faults: ``dark`` gives no answer to anybody; ``late_orders`` is the share of
+    orders that are carried out some seconds later and never answered;
+    ``slow_x`` multiplies the times of its group.
+    """
+
+    __slots__ = (
+        "id",
+        "service",
+        "address",
+        "zone",
+        "domain",
+        "born",
+        "seq",
+        "state",
+        "place",
+        "staged",
+        "dark",
+        "cut_from_store",
+        "late_orders",
+        "slow_x",
+        "running",
+        "slots",
+        "_store",
+        "_engine",
+        "_records",
+        "_peers_by_id",
+        "_highest_epoch",
+        "_fence",
+        "_last_model",
+        "_tasks",
+        "_random",
+    )
+
+    def __init__(
+        self,
+        *,
+        id_,
+        service,
+        address,
+        zone,
+        domain,
+        engine,
+        store,
+        records,
+        peers,
+        seed,
+    ):
+        """Create a replica that has just started.
+
+        :param engine: the ``engine`` part of the service's configuration.
+        :param peers: every `ModelReplica` of the service by id.
+        """
+        self.id = id_
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.domain = domain
+        self.dark = False
+        self.cut_from_store = False
+        self.late_orders = 0.0
+        self.slow_x = 1.0
+        self.slots = engine["slots"]
+        self.staged = []
+        self._store = store
+        self._engine = engine
+        self._records = records
+        self._peers_by_id = peers
+        self._tasks = set()
+        self._random = random.Random(f"{id_}-{seed}")
+        peers[id_] = self
+        self.born = 0
+        self.restart()
+
+    def restart(self):
+        """Begin a new life under the same id, which knows nothing of the last."""
+        self.stop_tasks()
+        self.born += 1
+        self.seq = 0
+        self.state = "ready"
+        self.place = None
+        self.running = 0
+        self._highest_epoch = 0
+        self._fence = 0
+        self._last_model = None
+        self.publish()
+
+    def stop_tasks(self):
+        """End everything under way."""
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+
+    def publish(self):
+        """Write the entry of the platform's list, if the store can be reached."""
+        if not self.cut_from_store and not self.dark:
+            self._store.put("servers", self.id, self.entry())
+
+    def entry(self):
+        """Return the entry as the platform's list shows it."""
+        entry = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "born": self.born,
+            "domain": self.domain,
+            "staged": list(self.staged),
+            "models": [],
+            "seq": self.seq,
+        }
+        if self.place is not None:
+            entry["group"] = {
+                "name": self.place.group,
+                "epoch": self.place.epoch,
+                "rank": self.place.rank,
+                "state": self.place.state,
+            }
+        return entry
+
+    async def handle(self, request, reply, source=""):
+        """Answer one HTTP request."""
+        if self.dark:
+            await asyncio.sleep(SILENCE_S)
+        path, _ = split_path(request)
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        expected = headers.get("x-pimentogap-expect-replica", self.id)
+        if expected != self.id:
+            await self._answer(reply, 421, {}, {"X-Pimentogap-Replica-Id": self.id})
+        elif path == "/api/report":
+            await self._answer(reply, 200, self._report())
+        elif path == "/api/order":
+            await self._take_order(json.loads(request.body), reply)
+        else:
+            await self._serve(headers, reply)
+
+    def _report(self):
+        report = self.entry()
+        report["pace"] = self.slow_x
+        report["running"] = self.running
+        return report
+
+    async def _take_order(self, order, reply):
+        if self._random.random() < self.late_orders:
+            self._begin(self._carry_out_late(order))
+            await asyncio.sleep(SILENCE_S)
+        await self._answer(reply, self._carry_out(order), {})
+
+    async def _carry_out_late(self, order):
+        await asyncio.sleep(self._random.uniform(2.0, 12.0))
+        self._carry_out(order)
+
+    def _carry_out(self, order):
+        fence = order.get("fenceToken", 0)
+        if fence < self._fence:
+            self._records.stale_fences += 1
+            return 412
+        self._fence = fence
+        if order.get("expectedRev", self.seq) != self.seq:
+            return 409
+        match order["operation"]:
+            case "join":
+                return self._join(order)
+            case "open":
+                return self._open(order)
+            case "close":
+                return self._close(order)
+            case "leave":
+                return self._leave(order)
+            case "stage":
+                return self._stage(order)
+        return 400
+
+    def _join(self, order):
+        place = self.place
+        if place is not None and (place.group, place.epoch) == (
+            order["group"],
+            order["epoch"],
+        ):
+            return 200 if place.members == tuple(order["members"]) else 412
+        if order["epoch"] < self._highest_epoch:
+            return 412
+        self._check_two(order)
+        self._highest_epoch = order["epoch"]
+        self.place = Place(order, self.id)
+        self._started()
+        self._begin(self._load(self.place))
+        return 202
+
+    def _check_two(self, order):
+        place = self.place
+        if place is None:
+            return
+        head = self._peers_by_id.get(place.members[0])
+        if head is None or head.dark or head.place is None:
+            return
+        same = (head.place.group, head.place.epoch) == (place.group, place.epoch)
+        if same and head.place.state in ("open", "closing"):
+            self._records.two.append((self.id, place.group, order["group"]))
+
+    async def _load(self, place):
+        model = self._model(place.model)
+        if self._last_model == place.model:
+            await asyncio.sleep(JOIN_AGAIN_S)
+        elif place.model in self.staged:
+            await asyncio.sleep(model["warmS"])
+        else:
+            await self._load_weights(model)
+        if self.place is place:
+            place.state = "ready"
+            self._last_model = place.model
+            self.publish()
+
+    def _open(self, order):
+        place = self._place_of(order)
+        if place is None or place.rank or place.state not in ("ready", "open"):
+            return 409
+        if place.state == "open":
+            return 200
+        self._started()
+        self._begin(self._form(place))
+        return 202
+
+    async def _form(self, place):
+        await asyncio.sleep(self._engine["formMs"] / 1000)
+        if self.place is place and place.state == "ready":
+            place.state = "open"
+            self.publish()
+
+    def _close(self, order):
+        place = self._place_of(order)
+        if place is None:
+            return 409
+        if place.state != "open":
+            return 200
+        place.state = "ready"
+        self._started()
+        return 202
+
+    def _leave(self, order):
+        if self._place_of(order) is None:
+            return 200
+        self.place = None
+        self._started()
+        return 202
+
+    def _stage(self, order):
+        if order["model"] in self.staged:
+            return 200
+        self._started()
+        self._begin(self._load_onto_host(order["model"]))
+        return 202
+
+    async def _load_onto_host(self, model):
+        await self._load_weights(self._model(model))
+        self.publish()
+
+    async def _load_weights(self, model):
+        """Load from the weight store; before the first request that is quick."""
+        if self._records.runs:
+            self._records.loads.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(model["loadS"])
+        else:
+            await asyncio.sleep(model["loadS"] * EARLY_LOAD_X)
+        self.staged = [model["name"]]
+
+    def _place_of(self, order):
+        place = self.place
+        if place is None or (place.group, place.epoch) != (
+            order["group"],
+            order["epoch"],
+        ):
+            return None
+        return place
+
+    def _started(self):
+        self.seq += 1
+        self.publish()
+
+    def _model(self, name):
+        return next(m for m in self._engine["models"] if m["name"] == name)
+
+    async def _serve(self, headers, reply):
+        """Run a request as the head of an open group, or refuse it."""
+        place = self.place
+        if place is None or place.rank or place.state != "open":
+            await self._refuse(reply, 421)
+            return
+        if place.model != headers.get("x-pimentogap-model"):
+            await self._refuse(reply, 421)
+            return
+        if self.running >= self.slots * 3:
+            await self._refuse(reply, 503)
+            return
+        self.running += 1
+        try:
+            await self._run(headers, reply, place)
+        finally:
+            self.running -= 1
+
+    async def _run(self, headers, reply, place):
+        attempt_id = headers.get("x-pimentogap-attempt-id", "")
+        prompt, output = headers["x-pimentogap-token-count"].split(",")
+        first = int(headers.get("last-event-id", "0")) + 1
+        await self._work(place, int(prompt) / self._engine["read_per_s"])
+        self._check_partial(place)
+        now = asyncio.get_running_loop().time()
+        workspace = headers.get("x-pimentogap-tenant")
+        self._records.runs.append(Run(attempt_id, self.id, workspace, now))
+        reply.start(
+            200,
+            {
+                "Content-Type": "text/event-stream",
+                "X-Pimentogap-Attempt-Id": attempt_id,
+                "X-Pimentogap-Replica-Seal": f"seal-{self.id}",
+                "X-Pimentogap-Replica-Load": f"{self.running},0,{self.slots}",
+            },
+        )
+        events = -(-int(output) // EVENT_TOKENS)
+        for number in range(first, events + 1):
+            step_s = self._engine["step_ms"] / 1000 * EVENT_TOKENS
+            await self._work(place, step_s)
+            await reply.data(f"id: {number}\ndata: {attempt_id}/{number}\n\n".encode())
+
+    async def _work(self, place, seconds):
+        """Let time pass for the group, which stands still if a member is lost."""
+        members = [self._peers_by_id.get(id_) for id_ in place.members]
+        if any(not self._stands_by(member, place) for member in members):
+            await asyncio.sleep(self._engine.get("stallMs", 4000) / 1000)
+            if self.place is place and place.state == "open":
+                place.state = "broken"
+                self.publish()
+            raise AbandonConnection
+        pace = max(member.slow_x for member in members)
+        await asyncio.sleep(seconds * pace * (1 + self.running / self.slots))
+        if self.dark:
+            await asyncio.sleep(SILENCE_S)
+
+    def _stands_by(self, member, place):
+        if member is None or member.dark or member.place is None:
+            return False
+        return (member.place.group, member.place.epoch) == (place.group, place.epoch)
+
+    def _check_partial(self, place):
+        size = self._model(place.model)["size"]
+        members = [self._peers_by_id.get(id_) for id_ in place.members]
+        ready = [
+            member
+            for member in members
+            if member is not None
+            and member.place is not None
+            and member.place.members == place.members
+            and member.place.state != "joining"
+        ]
+        if len(place.members) != size or len(ready) != size:
+            self._records.partial.append((self.id, place.group))
+
+    async def _refuse(self, reply, status):
+        await self._answer(reply, status, {}, {"X-Pimentogap-Not-Executed": "1"})
+
+    async def _answer(self, reply, status, data, headers=None):
+        body = json.dumps(data).encode()
+        reply.start(status, {"Content-Length": str(len(body)), **(headers or {})})
+        await reply.data(body)
+
+    def _begin(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/standins/emulator/_store.py
@@ -0,0 +1,223 @@
+"""The platform's object store, by its published protocol, with its faults."""
+
+import asyncio
+import json
+import random
+from collections import deque
+from urllib.parse import unquote
+
+from standins._network import AbandonConnection, split_path
+
+HISTORY_EVENTS = 2000
+ANSWER_S = 0.004
+SILENCE_S = 3600.0
+PAGE_ITEMS = 500
+
+
+class ObjectFaults:
+    """What goes wrong at present; every field can be changed at any time.
+
+    ``refused_sources`` names daemons that are turned away, by status 503, while
+    others are served; ``silent_sources`` get no answer at all.
+    """
+
+    __slots__ = (
+        "down",
+        "silent",
+        "slow_s",
+        "lose_answers",
+        "late_writes_s",
+        "refused_sources",
+        "silent_sources",
+    )
+
+    def __init__(self):
+        self.down = False
+        self.silent = False
+        self.slow_s = 0.0
+        self.lose_answers = 0.0
+        self.late_writes_s = 0.0
+        self.refused_sources = set()
+        self.silent_sources = set()
+
+
+class ObjectStore:
+    """Objects by kind and name, one revision counter, conditional writes, watches."""
+
+    __slots__ = (
+        "faults",
+        "revision",
+        "objects_by_kind",
+        "calls",
+        "_history",
+        "_dropped_before",
+        "_changed",
+        "_random",
+        "_late",
+    )
+
+    def __init__(self, *, seed=0):
+        self.faults = ObjectFaults()
+        self.revision = 1
+        self.objects_by_kind = {}
+        self.calls = 0
+        self._history = deque(maxlen=HISTORY_EVENTS)
+        self._dropped_before = 0
+        self._changed = asyncio.Event()
+        self._random = random.Random(seed)
+        self._late = set()
+
+    def put(self, kind, name, specification):
+        """Write an object as the operator or a replica does, without a condition."""
+        objects = self.objects_by_kind.setdefault(kind, {})
+        current = objects.get(name)
+        if current is not None and current["specification"] == specification:
+            return
+        self._write(kind, name, specification)
+
+    def remove(self, kind, name):
+        """Remove an object, if it is there."""
+        removed = self.objects_by_kind.get(kind, {}).pop(name, None)
+        if removed is not None:
+            self.revision += 1
+            self._note(kind, removed, removed=True)
+
+    def drop_history(self):
+        """Forget every change so far, which ends older watches."""
+        self._dropped_before = self.revision
+        self._history.clear()
+        self._wake()
+
+    async def handle(self, request, reply, source=""):
+        """Answer one call of the object API, sent by ``source``."""
+        self.calls += 1
+        faults = self.faults
+        if faults.silent or source in faults.silent_sources:
+            await asyncio.sleep(SILENCE_S)
+        if faults.down or source in faults.refused_sources:
+            await self._answer(reply, 503, {})
+            return
+        await asyncio.sleep(ANSWER_S + faults.slow_s)
+        writes = request.method != "GET"
+        if writes and self._random.random() < faults.lose_answers:
+            await self._lose(request)
+        status, data = await self._carry_out(request)
+        await self._answer(reply, status, data)
+
+    async def _lose(self, request):
+        """Carry out a write, now or late, and never answer it."""
+        if self.faults.late_writes_s:
+            task = asyncio.ensure_future(self._carry_out_late(request))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+        else:
+            await self._carry_out(request)
+        raise AbandonConnection
+
+    async def _carry_out_late(self, request):
+        await asyncio.sleep(self._random.uniform(1.0, self.faults.late_writes_s))
+        await self._carry_out(request)
+
+    async def _carry_out(self, request):
+        path, query = split_path(request)
+        parts = [unquote(part) for part in path.split("/")[3:]]
+        kind, name = parts[0], parts[1] if len(parts) > 1 else None
+        objects = self.objects_by_kind.setdefault(kind, {})
+        match request.method, name:
+            case "GET", None if "watch" in query:
+                return await self._watch(kind, query)
+            case "GET", None:
+                return 200, self._list(objects, query.get("afterRev", ""))
+            case "GET", _:
+                return (200, objects[name]) if name in objects else (404, {})
+            case "POST", None:
+                body = json.loads(request.body)
+                name = body["metadata"]["name"]
+                if name in objects:
+                    return 409, objects[name]
+                return 201, self._write(kind, name, body["specification"])
+            case "PUT", _:
+                return self._replace(kind, objects, name, json.loads(request.body))
+            case "DELETE", _:
+                return self._delete(kind, objects, name, query)
+        return 400, {}
+
+    def _replace(self, kind, objects, name, body):
+        current = objects.get(name)
+        if current is None:
+            return 404, {}
+        revision = body["metadata"].get("revision")
+        if revision is not None and revision != current["metadata"]["revision"]:
+            return 409, current
+        if current["specification"] == body["specification"]:
+            return 200, current
+        return 200, self._write(kind, name, body["specification"])
+
+    def _delete(self, kind, objects, name, query):
+        current = objects.get(name)
+        if current is None:
+            return 404, {}
+        if (
+            "revision" in query
+            and int(query["revision"]) != (current["metadata"]["revision"])
+        ):
+            return 409, current
+        self.remove(kind, name)
+        return 200, {}
+
+    def _list(self, objects, after):
+        names = sorted(name for name in objects if name > after)
+        return {
+            "items": [objects[name] for name in names[:PAGE_ITEMS]],
+            "truncated": len(names) > PAGE_ITEMS,
+            "currentRev": self.revision,
+        }
+
+    async def _watch(self, kind, query):
+        since = int(query["watch"])
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + int(query.get("waitMs", 0)) / 1000
+        while True:
+            if since < self._dropped_before:
+                return 410, {}
+            events = [
+                {"object": item, "removed": removed}
+                for revision, of_kind, item, removed in self._history
+                if of_kind == kind and revision > since
+            ]
+            left_s = deadline - loop.time()
+            if events or left_s <= 0:
+                return 200, {"events": events, "currentRev": self.revision}
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _write(self, kind, name, specification):
+        self.revision += 1
+        item = {
+            "metadata": {"name": name, "revision": self.revision},
+            "specification": specification,
+            "status": None,
+        }
+        self.objects_by_kind.setdefault(kind, {})[name] = item
+        self._note(kind, item, removed=False)
+        return item
+
+    def _note(self, kind, item, *, removed):
+        self._history.append((self.revision, kind, item, removed))
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _answer(self, reply, status, data):
+        body = json.dumps(data).encode()
+        headers = {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+        }
+        reply.start(status, headers)
+        await reply.data(body)
