Believe lapsed entries until they can have returned

A list of several pages was followed from the last page's revision, which can skip changes of earlier pages. Change: the store client tells when it came back after an outage; lists are followed from their first page's revision.

--- a/pimentogap/directory/_follow.py
+++ b/pimentogap/directory/_follow.py
@@ -1,6 +1,5 @@
 """Follows one collection of the platform's store, for as long as a daemon runs."""
 
-import math
 from dataclasses import dataclass
 
 from logbook import Logger
@@ -43,26 +42,21 @@
     revision = None
     newest = 0
     lost_at = None
-    regained_at = -math.inf
     delay_s = RETRY_DELAY_S
     while True:
         try:
             if revision is None:
                 objects, revision = await store.list(collection)
-                if lost_at is not None:
-                    regained_at = clock.time()
                 if revision >= newest:
                     newest = revision
-                    back_s = clock.time() - regained_at
+                    back_s = clock.time() - store.regained_at
                     apply(Followed(True, (), tuple(objects), revision, back_s))
             else:
                 page = await store.watch(collection, revision, WATCH_WAIT_S)
-                if lost_at is not None:
-                    regained_at = clock.time()
                 revision = page.revision
                 newest = max(newest, revision)
                 if page.items:
-                    back_s = clock.time() - regained_at
+                    back_s = clock.time() - store.regained_at
                     apply(Followed(False, page.items, (), revision, back_s))
             if lost_at is not None:
                 away_s = round(clock.time() - lost_at, 3)
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -1,5 +1,9 @@
 """The service through which everything reaches the platform's object API."""
 
+import math
+
+from logbook import Logger
+
 from pimentogap.errors import StoreAnswerLost, StoreUnavailable
 from pimentogap.store._calls import (
     Conflict,
@@ -15,12 +19,16 @@
     Written,
 )
 
+log = Logger("store")
+
 CALL_TIMEOUT_S = 1.0
 RETRY_BASE_S = 0.05
 RETRY_LIMIT_S = 1.0
 BREAKER_FAILURES = 5
 BREAKER_OPEN_S = 0.5
 READ_GIVE_UP_S = 3.0
+# Failures for less than this are no outage in which entries could lapse.
+OUTAGE_S = 1.5
 PAGE_OBJECTS = 500
 
 
@@ -54,6 +62,7 @@
     """Calls the platform's object API with deadlines, jittered retries and a breaker.
 
     Every call and every waiting watch is counted in ``calls_by_kind``.
+    ``regained_at`` is when calls succeeded again after an outage.
     """
 
     name = "store"
@@ -66,6 +75,8 @@
         "last_answer_at",
         "_timeout_s",
         "_vm_list",
+        "_failing_since",
+        "regained_at",
     )
 
     def __init__(self, transport, *, timeout_s=CALL_TIMEOUT_S):
@@ -81,6 +92,8 @@
         self.calls_by_kind = {}
         self.last_answer_at = None
         self._vm_list = VmList("", ())
+        self._failing_since = None
+        self.regained_at = -math.inf
 
     async def start(self, kernel):
         """Take the clock and the random numbers of ``kernel``."""
@@ -106,11 +119,15 @@
         :param limit: at most so many; all by default.
         """
         items = []
+        revision = None
         while True:
             page = await self._read(List(collection, after, limit or PAGE_OBJECTS))
             items.extend(page.items)
+            if revision is None:
+                # Changes between two pages come after it, so no watch misses them.
+                revision = page.revision
             if limit is not None or not page.truncated:
-                return items, page.revision
+                return items, revision
             after = page.items[-1].name
 
     async def vms(self):
@@ -189,11 +206,23 @@
             answer = await self._transport.call(call, timeout_s=self._timeout_s)
         except (StoreAnswerLost, StoreUnavailable):
             self._breaker.failed()
+            if self._failing_since is None:
+                self._failing_since = self._kernel.clock.time()
             raise
         self._breaker.succeeded()
-        self.last_answer_at = self._kernel.clock.time()
+        self._note_answer(self._kernel.clock.time())
         return answer
 
+    def _note_answer(self, now):
+        self.last_answer_at = now
+        if self._failing_since is None:
+            return
+        away_s = now - self._failing_since
+        self._failing_since = None
+        if away_s >= OUTAGE_S:
+            self.regained_at = now
+            log.notice("store regained", away_s=round(away_s, 3))
+
     def _backoff(self, attempt):
         limit_s = min(RETRY_LIMIT_S, RETRY_BASE_S * 2**attempt)
         return limit_s * self._kernel.random.uniform(0.5, 1.0)
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -178,6 +178,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query.get("waitMs", 0)) / 1000
         while True:
+            if self.faults.down or self.faults.silent:
+                raise AbandonConnection
             if since < self._dropped_before:
                 return 410, {}
             events = [
