Give up a silent send only for a better one

The fleet's slack for second sends was hardly used, since no daemon knew how many share it. Change: daemons count each other by objects in the store; a stall needs room in the budget, a sound alternative and silence of the whole head.

--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -40,12 +40,15 @@
 GAP_PATIENCE = 2.0
 MIN_PATIENCE_S = 0.5
 SUSPECT_PATIENCE_S = 0.25
+# A backend server that sent anything within this time is not standing still.
+LIVELY_S = 0.3
+LIVELY_PATIENCE = 2.5
+RECHECK_S = 0.1
 IDEMPOTENT_PATIENCE = 2.0
 # Sends that certainly did not run, beyond the route's attempts.
 EXTRA_SENDS = 2
 RETRY_AFTER_MISSING_S = 0.5
 RETRY_AFTER_FULL_S = 0.6
-FLEETWIDE_SLACK_SENDS = 2.0
 PROMISING_STATUSES = (408, 421, 429, 503)
 
 
@@ -66,7 +69,13 @@
     """Serves each request by one task, from the admission to the last byte."""
 
     name = "forwarding"
-    requires = ("placement", "serving_configuration", "directory", "metrics")
+    requires = (
+        "placement",
+        "serving_configuration",
+        "directory",
+        "daemons",
+        "metrics",
+    )
     __slots__ = (
         "_pool",
         "_codec",
@@ -95,7 +104,7 @@
         self._budget = RetryBudget(
             ratio=settings.retry_ratio,
             window_s=settings.retry_window_s,
-            slack=min(settings.retry_slack, FLEETWIDE_SLACK_SENDS),
+            slack=settings.retry_slack,
         )
         self.in_flight = 0
         self.served = 0
@@ -157,16 +166,21 @@
             remaining_s = deadline - self._kernel.clock.time()
             if remaining_s < MIN_SEND_S:
                 return outcome or TimedOut()
-            if sends.tried and not self._budget.admit(
-                admitted.service, self._kernel.clock.time()
-            ):
-                return outcome
+            if sends.tried:
+                if not self._has_budget(admitted.service):
+                    return outcome
+                self._budget.spend(admitted.service, self._kernel.clock.time())
             outcome = await self._send(request, admitted, sends, backend, deadline)
             sends.tried.append((backend.id, outcome))
             sends.excluded_ids.add(backend.id)
             if not self._may_go_on(request, admitted.route, sends, outcome):
                 return outcome
 
+    def _has_budget(self, service):
+        now = self._kernel.clock.time()
+        daemons = self._kernel.get("daemons").count
+        return self._budget.has_room(service, now, daemons=daemons)
+
     def _may_go_on(self, request, route, sends, outcome):
         """Tell whether another send is allowed and could help after ``outcome``."""
         match outcome:
@@ -187,7 +201,6 @@
         return route.repeatable and sends.may_have_run < route.max_attempts
 
     async def _send(self, request, admitted, sends, backend, deadline):
-        route = admitted.route
         load = self._placement.load(backend)
         relay = Relay(request, load, self._codec, self._kernel.clock, sends.cutter)
         load.in_flight += 1
@@ -197,7 +210,7 @@
         sends.may_have_run += 1
         try:
             outcome = await self._watch(
-                request, route, sends, load, relay, exchange, deadline
+                request, admitted, sends, load, relay, exchange, deadline
             )
         finally:
             load.in_flight -= 1
@@ -241,42 +254,56 @@
         except ResponseLost as error:
             return Lost(str(error))
 
-    async def _watch(self, request, route, sends, load, relay, exchange, deadline):
+    async def _watch(self, request, admitted, sends, load, relay, exchange, deadline):
         """Wait for the end of ``exchange``, its deadline, or a hopeless silence."""
         clock = self._kernel.clock
+        route = admitted.route
         while True:
             now = clock.time()
-            due = relay.progress_at + self._patience(route, relay, load, now)
-            patient = not self._may_repeat(route, sends)
-            wake_at = deadline if patient else min(deadline, due)
+            wake_at = deadline
+            if self._may_repeat(route, sends):
+                wake_at = min(deadline, self._stalled_at(route, relay, load, now))
             done, _ = await asyncio.wait({exchange}, timeout=max(0.0, wake_at - now))
             if done:
                 return exchange.result()
             now = clock.time()
             if now >= deadline:
                 return TimedOut()
-            silent_s = now - relay.progress_at
-            if not patient and silent_s >= self._patience(route, relay, load, now):
-                if self._has_alternative(request, route, sends):
+            if now >= self._stalled_at(route, relay, load, now):
+                silent_s = now - relay.progress_at
+                if self._has_alternative(request, admitted, sends, load):
                     return Stalled(silent_s)
-                relay.progress_at = now
+                await asyncio.wait({exchange}, timeout=RECHECK_S)
 
-    def _patience(self, route, relay, load, now):
+    def _stalled_at(self, route, relay, load, now):
+        """Return when the silence of a send becomes hopeless, if it goes on."""
         if route.kind is RouteKind.IDEMPOTENT:
-            return IDEMPOTENT_PATIENCE * route.first_byte_s
+            return relay.progress_at + IDEMPOTENT_PATIENCE * route.first_byte_s
         if load.is_suspect(now):
-            return SUSPECT_PATIENCE_S
-        if relay.first_event_at is None:
-            return max(MIN_PATIENCE_S, FIRST_EVENT_PATIENCE * route.first_byte_s)
-        return max(MIN_PATIENCE_S, GAP_PATIENCE * route.max_gap_s)
-
-    def _has_alternative(self, request, route, sends):
-        tried = sends.excluded_ids
-        model = request.needs.model if route.carries_model else ""
-        service = route.splits[0].service
-        return isinstance(
-            self._placement.choose(service, model, excluded=tried), Forward
+            patience_s = SUSPECT_PATIENCE_S
+        elif relay.first_event_at is None:
+            patience_s = max(MIN_PATIENCE_S, FIRST_EVENT_PATIENCE * route.first_byte_s)
+        else:
+            patience_s = max(MIN_PATIENCE_S, GAP_PATIENCE * route.max_gap_s)
+        due = relay.progress_at + patience_s
+        # A head that answers others is alive; this request may only be queued.
+        lively_until = load.progress_at + LIVELY_S
+        if due < lively_until:
+            return min(lively_until, relay.progress_at + patience_s * LIVELY_PATIENCE)
+        return due
+
+    def _has_alternative(self, request, admitted, sends, load):
+        """Tell whether a sound backend server with less to do could take over."""
+        if not self._has_budget(admitted.service):
+            return False
+        model = request.needs.model if admitted.route.carries_model else ""
+        choice = self._placement.choose(
+            admitted.service, model, excluded=sends.excluded_ids | {load.backend_id}
         )
+        match choice:
+            case Forward(backend):
+                return not self._placement.is_suspect(backend)
+        return False
 
     def _note_health(self, backend, load, outcome):
         now = self._kernel.clock.time()
--- a/pimentogap/placement/_budget.py
+++ b/pimentogap/placement/_budget.py
@@ -7,8 +7,8 @@
 class RetryBudget:
     """Admits second sends in proportion to requests, within a sliding window.
 
-    Each daemon spends its own requests' part alone, so the sum over all daemons
-    keeps the fleet's bound without a call.
+    Each daemon spends the part of its own requests, and its share of what the
+    fleet may spend besides, so the sum keeps the bound without a call.
     """
 
     __slots__ = ("_ratio", "_window_s", "_slack", "_slots")
@@ -22,20 +22,24 @@
         """
         self._ratio = ratio * SAFETY
         self._window_s = window_s
-        self._slack = slack
+        self._slack = slack * SAFETY
         self._slots = {}
 
     def request(self, service, now):
         """Count a request for ``service``."""
         self._slot(service, now)[0] += 1
 
-    def admit(self, service, now):
-        """Tell whether one more second send fits, and count it if so."""
+    def has_room(self, service, now, *, daemons):
+        """Tell whether one more second send fits.
+
+        :param daemons: how many daemons share the budget.
+        """
         requests, sends = self._sums(service, now)
-        if sends + 1 > requests * self._ratio + self._slack:
-            return False
+        return sends + 1 <= requests * self._ratio + self._slack / daemons
+
+    def spend(self, service, now):
+        """Count a second send."""
         self._slot(service, now)[1] += 1
-        return True
 
     def _slot(self, service, now):
         return self._slots.setdefault(service, {}).setdefault(int(now), [0, 0])
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -13,6 +13,7 @@
     """Requests in flight, the last report of load, and doubts about the health."""
 
     __slots__ = (
+        "backend_id",
         "in_flight",
         "_reported",
         "_reported_at",
@@ -22,7 +23,8 @@
         "progress_at",
     )
 
-    def __init__(self):
+    def __init__(self, backend_id):
+        self.backend_id = backend_id
         self.in_flight = 0
         self._reported = 0
         self._reported_at = -math.inf
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -63,9 +63,13 @@
         key = _key(backend)
         load = self.loads_by_key.get(key)
         if load is None:
-            load = self.loads_by_key[key] = BackendLoad()
+            load = self.loads_by_key[key] = BackendLoad(backend.id)
         return load
 
+    def is_suspect(self, backend):
+        """Tell whether ``backend`` is left out at present."""
+        return self.load(backend).is_suspect(self._kernel.clock.time())
+
     def choose(self, service, model, *, excluded=()):
         """Return `Forward`, `Full` or `Missing` for a request.
 
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -72,8 +72,9 @@
             return _write("PUT", _path(collection, name), document)
         case Delete(collection, name, version):
             return HttpRequest("DELETE", _path(collection, name, revision=version))
-        case List(collection, after, _):
-            return HttpRequest("GET", _path(collection, afterRev=after))
+        case List(collection, after, _, stale):
+            path = _path(collection, afterRev=after, allowStale=stale)
+            return HttpRequest("GET", path)
         case Watch(collection, revision, wait_s):
             wait_ms = int(wait_s * MS)
             return HttpRequest("GET", _path(collection, watch=revision, waitMs=wait_ms))
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -10,7 +10,11 @@
 from logbook import Logger
 
 from pimentogap.alarms import AlarmService
-from pimentogap.directory import DirectoryService, ServingConfigurationService
+from pimentogap.directory import (
+    DaemonCountService,
+    DirectoryService,
+    ServingConfigurationService,
+)
 from pimentogap.errors import InvalidDocument
 from pimentogap.formation import FormationService, LeaseService
 from pimentogap.forwarding import ForwardingService
@@ -97,6 +101,7 @@
             CONFIGURATION_COLLECTION, CONFIGURATION_NAME, decode_configuration
         ),
         DirectoryService(BACKEND_COLLECTION, decode_backend),
+        DaemonCountService(settings.id),
         PlacementService(),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
--- a/pimentogap/store/_calls.py
+++ b/pimentogap/store/_calls.py
@@ -38,6 +38,7 @@
     collection: str
     after: str = ""
     limit: int = 500
+    stale: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -112,16 +112,18 @@
         """
         return await self._read(Get(collection, name, stale))
 
-    async def list(self, collection, *, after="", limit=None):
+    async def list(self, collection, *, after="", limit=None, stale=False):
         """Return objects of ``collection``, by name, and the store's revision.
 
         :param after: only names that sort after this one.
         :param limit: at most so many; all by default.
+        :param stale: whether an answer that is seconds old will do.
         """
         items = []
         revision = None
         while True:
-            page = await self._read(List(collection, after, limit or PAGE_OBJECTS))
+            call = List(collection, after, limit or PAGE_OBJECTS, stale)
+            page = await self._read(call)
             items.extend(page.items)
             if revision is None:
                 # Changes between two pages come after it, so no watch misses them.
--- a/pimentogap/store/http.py
+++ b/pimentogap/store/http.py
@@ -80,7 +80,7 @@
             return HttpRequest(
                 "DELETE", _object_path(collection, name), {"If-Match": f'"{version}"'}
             )
-        case List(collection, after, limit):
+        case List(collection, after, limit, _):
             query = urlencode({"after": after, "limit": limit})
             return HttpRequest("GET", f"/v1/objects/{collection}?{query}")
         case Watch(collection, revision, wait_s):
