Keep free backend servers for the model that is shortest

Ruled out: slow detection; each loss was believed within 1.2 s. Change: a model gets groups beyond its target only if none is shorter; spares are staged by what the loss of a member would cost to load.

--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -73,8 +73,11 @@
 
 def _next_plan(engine, free_by_domain, counts, last_model_by_id, targets, spares):
     """Return the next group, for the model that is shortest against its share."""
-    for spec in _by_need(engine, counts):
+    for place, spec in enumerate(_by_need(engine, counts)):
         short = counts.get(spec.name, 0) < targets.get(spec.name, 0)
+        if place and not short:
+            # What is free is kept for the model that needs it most.
+            continue
         needed = spec.size + (0 if short else spares + 1)
         options = []
         for members in free_by_domain.values():
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -417,7 +417,7 @@
         for backend in free:
             if backend.id not in forming and backend.membership is None:
                 spares_by_domain.setdefault(backend.domain, []).append(backend)
-        names = [spec.name for spec in service.engine.models]
+        load_s_by_name = {spec.name: spec.load_s for spec in service.engine.models}
         for domain, spares in spares_by_domain.items():
             members = Counter(
                 group.model
@@ -425,14 +425,18 @@
                 for item in group.members_by_rank.values()
                 if item.domain == domain
             )
-            # One more each, so that a model without a group there still counts.
-            weights = {name: members[name] + 1 for name in names}
+            # A model without a group there still counts a little.
+            weights = {
+                name: (members[name] + 0.5) * load_s
+                for name, load_s in load_s_by_name.items()
+            }
             self._stage_in_domain(service, spares, weights)
 
     def _stage_in_domain(self, service, spares, weights):
         """Have the spares of a domain hold what its groups are most likely to need.
 
-        :param weights: for each model, the members that its groups have there.
+        :param weights: for each model, the seconds of loading that the loss of
+            one of its members in the domain would cost, times their number.
         """
         held = Counter()
         unsure = []
