Find connections that went silent by keep-alive probes

Cause: a watch waits 20 s, so a connection to the store that went silent left a daemon with an old list for that long; calls between daemons kept using a silent channel. Change: probes after 1 s of silence on every connection that is opened; channels and kept connections are dropped after a call without an answer.

--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -4,7 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.errors import ConnectionFailed, KeptConnectionClosed, ResponseLost
+from pimentogap.errors import ConnectionFailed, ResponseLost
 from pimentogap.forwarding._events import EventCutter
 from pimentogap.forwarding._outcomes import (
     Delivered,
@@ -248,9 +248,6 @@
             return relay.finished()
         except ConnectionFailed as error:
             return NotSent(str(error))
-        except KeptConnectionClosed as error:
-            self._pool.forget(backend.address)
-            return Lost(str(error))
         except ResponseLost as error:
             return Lost(str(error))
 
@@ -310,6 +307,8 @@
         match outcome:
             case NotSent() | Lost() | Stalled() | TimedOut():
                 load.suspect(now)
+                # Its kept connections may have gone silent as well.
+                self._pool.forget(backend.address)
                 log.info("backend suspect", backend=backend.id, outcome=repr(outcome))
                 self._raise_alarm(backend)
             case NotRun(status=421):
--- a/pimentogap/peers/grpc.py
+++ b/pimentogap/peers/grpc.py
@@ -113,6 +113,8 @@
                 request, timeout=timeout_s, metadata=self._metadata()
             )
         except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+            # The connection may have gone silent; the next call opens another.
+            self._channels_by_address.pop(address, channel).close()
             raise ResponseLost(f"{address}: {error!r}")
         return json.loads(reply.body)
 
--- a/pimentogap/web/_connect.py
+++ b/pimentogap/web/_connect.py
@@ -6,6 +6,10 @@
 
 # A peer that vanished without a reset is found this soon while data is unacknowledged.
 USER_TIMEOUT_MS = 3000
+# A connection that went silent without a reset is found within three seconds.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 MAX_BUFFER_BYTES = 16 * 2**20
 
 
@@ -22,6 +26,7 @@
     raw.setblocking(False)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    _probe_when_idle(raw)
     stream = IOStream(raw, max_buffer_size=MAX_BUFFER_BYTES)
     try:
         await stream.connect((host, int(port)))
@@ -29,3 +34,10 @@
         stream.close()
         raise
     return stream
+
+
+def _probe_when_idle(raw):
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
