Let a few daemons of each zone read the store for all

Ruled out: longer pauses between watches alone, which still cost a call for each daemon and second. Change: daemons list themselves in the store; the first of each zone, one for 20, and the leader read it, all others ask one of these over gRPC, and the store when it fails.

--- a/pimentogap/alarms/_service.py
+++ b/pimentogap/alarms/_service.py
@@ -21,36 +21,30 @@
     """
 
     name = "alarms"
-    requires = ("lease", "formation")
-    __slots__ = ("_address", "_transport", "_kernel", "_lease", "_raised_at_by_id")
+    requires = ("lease", "formation", "calls")
+    __slots__ = ("_kernel", "_lease", "_calls", "_raised_at_by_id")
 
-    def __init__(self, address, transport):
-        """Accept alarms on ``address``.
-
-        :param transport: carries calls between daemons.
-        """
-        self._address = address
-        self._transport = transport
+    def __init__(self):
         self._kernel = None
         self._lease = None
+        self._calls = None
         self._raised_at_by_id = {}
 
     async def start(self, kernel):
         """Begin to accept alarms."""
         self._kernel = kernel
         self._lease = kernel.get("lease")
-        await self._transport.listen(self._address, None, self._answer)
+        self._calls = kernel.get("calls")
+        self._calls.register(CALL, self._answer)
 
     async def stop(self):
-        """Stop accepting alarms."""
-        await self._transport.close()
+        """Do nothing; the kernel ends the tasks."""
 
     def suspect(self, backend):
         """Tell the leader that ``backend`` has stopped answering."""
         now = self._kernel.clock.time()
-        if now - self._raised_at_by_id.get(backend.id, -REPEAT_INTERVAL_S) < (
-            REPEAT_INTERVAL_S
-        ):
+        raised_at = self._raised_at_by_id.get(backend.id, -REPEAT_INTERVAL_S)
+        if now - raised_at < REPEAT_INTERVAL_S:
             return
         if len(self._raised_at_by_id) >= MAX_REMEMBERED:
             self._raised_at_by_id.clear()
@@ -64,15 +58,15 @@
 
     async def _report(self, backend_id, address):
         try:
-            await self._transport.call(
+            await self._calls.call(
                 address, CALL, {"backend": backend_id}, timeout_s=CALL_TIMEOUT_S
             )
         except (PeerUnreachable, ResponseLost) as error:
             log.info("alarm not delivered", leader=address, error=str(error))
 
-    async def _answer(self, call, body):
+    async def _answer(self, body):
         """Take an alarm from another daemon."""
-        if call == CALL and self._lease.is_held():
+        if self._lease.is_held():
             log.info("alarm received", backend=body.get("backend"))
             self._kernel.get("formation").alarm(body.get("backend"))
         return {}
--- a/pimentogap/directory/_configuration.py
+++ b/pimentogap/directory/_configuration.py
@@ -1,12 +1,8 @@
 """Keeps the newest configuration in force."""
 
-import asyncio
-
 from logbook import Logger
 
-from pimentogap.directory._follow import follow
 from pimentogap.errors import InvalidDocument
-from pimentogap.kernel import RestartOnError
 
 log = Logger("directory.configuration")
 
@@ -15,8 +11,8 @@
     """Holds the configuration in force, which never goes back to an older version."""
 
     name = "serving_configuration"
-    requires = ("store",)
-    __slots__ = ("current", "changed", "_collection", "_object", "_decode", "_clock")
+    requires = ("relay",)
+    __slots__ = ("current", "_collection", "_object", "_decode")
 
     def __init__(self, collection, object_name, decode):
         """Follow the object ``object_name`` of ``collection``.
@@ -24,23 +20,13 @@
         :param decode: turns its value into a `ServingConfiguration`.
         """
         self.current = None
-        self.changed = asyncio.Event()
         self._collection = collection
         self._object = object_name
         self._decode = decode
-        self._clock = None
 
     async def start(self, kernel):
         """Begin to follow the configuration."""
-        self._clock = kernel.clock
-        kernel.spawn(
-            self.name,
-            follow,
-            kernel,
-            self._collection,
-            self._apply,
-            on_error=RestartOnError(),
-        )
+        kernel.get("relay").follow(self._collection, self._apply)
 
     async def stop(self):
         """Do nothing; the kernel ends the task."""
@@ -72,5 +58,3 @@
             routes=len(newer.routes),
         )
         self.current = newer
-        self.changed.set()
-        self.changed = asyncio.Event()
--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -1,4 +1,6 @@
-"""Counts the daemons of the fleet, by objects that each writes when it starts."""
+"""Knows the daemons of the fleet, by objects that each writes when it starts."""
+
+import hashlib
 
 from logbook import Logger
 
@@ -15,24 +17,40 @@
 # Larger fleets are counted less often, so that the calls of all stay level.
 COUNT_INTERVAL_FOR_EACH_S = 0.2
 WRITE_GIVE_UP_S = 3.0
+DAEMONS_FOR_EACH_RELAY = 20
 
 
-class DaemonCountService:
-    """Knows about how many daemons share the fleet's budgets.
+class DaemonsService:
+    """Knows which daemons share the fleet's budgets, and which of them relay.
 
     An object of a daemon that was lost stays, so the count is never too low.
     """
 
     name = "daemons"
     requires = ("store",)
-    __slots__ = ("count", "_id", "_kernel", "_store", "_version")
+    __slots__ = (
+        "count",
+        "_id",
+        "_zone",
+        "_address",
+        "_kernel",
+        "_store",
+        "_version",
+        "_relay_ids",
+        "_addresses_by_id",
+    )
 
-    def __init__(self, daemon_id):
+    def __init__(self, settings):
+        """Take part as the daemon that ``settings`` describe."""
         self.count = UNKNOWN_COUNT
-        self._id = daemon_id
+        self._id = settings.id
+        self._zone = settings.availability_zone
+        self._address = settings.inner_address
         self._kernel = None
         self._store = None
         self._version = 0
+        self._relay_ids = ()
+        self._addresses_by_id = {}
 
     async def start(self, kernel):
         """Begin to count."""
@@ -48,9 +66,25 @@
             outcome = await self._store.write(call, give_up_after_s=WRITE_GIVE_UP_S)
             log.info("daemon unlisted", outcome=type(outcome).__name__)
 
+    def is_relay(self):
+        """Tell whether this daemon reads the store for others."""
+        return not self._relay_ids or self._id in self._relay_ids
+
+    def relay_address(self):
+        """Return where the relay that this daemon asks is reached.
+
+        ``None`` is returned if it is to read the store itself.
+        """
+        if self.is_relay():
+            return None
+        number = int(hashlib.sha256(self._id.encode()).hexdigest(), 16)
+        id_ = self._relay_ids[number % len(self._relay_ids)]
+        return self._addresses_by_id[id_]
+
     async def _register(self):
+        value = {"zone": self._zone, "address": self._address}
         while not self._version:
-            call = Put(COLLECTION, self._id, {})
+            call = Put(COLLECTION, self._id, value)
             outcome = await self._store.write(call, give_up_after_s=WRITE_GIVE_UP_S)
             match outcome:
                 case Written(version):
@@ -70,13 +104,25 @@
         while True:
             try:
                 objects, _ = await self._store.list(COLLECTION, stale=True)
-                count = max(1, len(objects))
-                if count != self.count:
-                    log.info("daemons counted", count=count, before=self.count)
-                self.count = count
+                self._take(objects)
             except StoreError as error:
                 log.info("daemons not counted", error=str(error))
             interval_s = COUNT_INTERVAL_S + COUNT_INTERVAL_FOR_EACH_S * self.count
             await self._kernel.clock.sleep(
                 interval_s * self._kernel.random.uniform(0.8, 1.2)
             )
+
+    def _take(self, objects):
+        self.count = max(1, len(objects))
+        self._addresses_by_id = {
+            stored.name: stored.value["address"]
+            for stored in objects
+            if isinstance(stored.value, dict)
+            and stored.value.get("zone") == self._zone
+            and stored.value.get("address")
+        }
+        ids = sorted(self._addresses_by_id)
+        relays = tuple(ids[: -(-len(ids) // DAEMONS_FOR_EACH_RELAY)])
+        if relays != self._relay_ids:
+            log.info("daemons counted", count=self.count, relays=relays)
+        self._relay_ids = relays
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -4,9 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.directory._follow import follow
 from pimentogap.directory._groups import groups_of
-from pimentogap.kernel import RestartOnError
 from pimentogap.types import BackendState, MemberState
 
 log = Logger("directory")
@@ -19,7 +17,7 @@
     """Knows the backend servers of each service, and which may get requests."""
 
     name = "directory"
-    requires = ("store", "serving_configuration")
+    requires = ("relay", "serving_configuration")
     __slots__ = (
         "backends_by_id",
         "groups_by_key",
@@ -59,14 +57,7 @@
         """Begin to follow the list."""
         self._kernel = kernel
         self._configuration = kernel.get("serving_configuration")
-        kernel.spawn(
-            self.name,
-            follow,
-            kernel,
-            self._collection,
-            self._apply,
-            on_error=RestartOnError(),
-        )
+        kernel.get("relay").follow(self._collection, self._apply)
 
     async def stop(self):
         """Do nothing; the kernel ends the task."""
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -13,6 +13,7 @@
 LEASE_S = 4.0
 RENEW_INTERVAL_S = 1.3
 LOOK_INTERVAL_S = 0.9
+STAND_BY_INTERVAL_S = 4.0
 # The leader stops this much before others may take over.
 MARGIN_S = 0.8
 WRITE_GIVE_UP_S = 1.0
@@ -41,7 +42,7 @@
     """
 
     name = "lease"
-    requires = ("store",)
+    requires = ("store", "daemons")
     __slots__ = ("_id", "_address", "_kernel", "_store", "_seen", "_held_until", "term")
 
     def __init__(self, daemon_id, address):
@@ -90,9 +91,14 @@
             except StoreError as error:
                 log.warning("lease not reachable", error=str(error))
             held = self.is_held()
-            interval_s = RENEW_INTERVAL_S if held else LOOK_INTERVAL_S
+            interval_s = RENEW_INTERVAL_S if held else self._look_interval_s()
             await clock.sleep(interval_s * self._kernel.random.uniform(0.85, 1.15))
 
+    def _look_interval_s(self):
+        """Return how long to wait; few daemons compete, the others stand by."""
+        relays = self._kernel.get("daemons").is_relay()
+        return LOOK_INTERVAL_S if relays else STAND_BY_INTERVAL_S
+
     async def _look(self):
         now = self._kernel.clock.time()
         stored = await self._store.get(COLLECTION, OBJECT, stale=True)
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -10,8 +10,9 @@
 from logbook import Logger
 
 from pimentogap.alarms import AlarmService
+from pimentogap.calls import CallService
 from pimentogap.directory import (
-    DaemonCountService,
+    DaemonsService,
     DirectoryService,
     ServingConfigurationService,
 )
@@ -36,6 +37,7 @@
     decode_configuration,
     load_platform_settings,
 )
+from pimentogap.relay import RelayService
 from pimentogap.store import StoreClient
 from pimentogap.web import BackendPool, HttpClient
 
@@ -96,17 +98,19 @@
     kernel = Kernel(clock=clock, seed=seed)
     for service in (
         MetricService(),
+        CallService(settings.inner_address, peer_transport),
         StoreClient(store_transport, timeout_s=STORE_TIMEOUT_S),
         ServingConfigurationService(
             CONFIGURATION_COLLECTION, CONFIGURATION_NAME, decode_configuration
         ),
         DirectoryService(BACKEND_COLLECTION, decode_backend),
-        DaemonCountService(settings.id),
+        DaemonsService(settings),
+        RelayService(),
         PlacementService(),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
         FormationService(settings, engines),
-        AlarmService(settings.inner_address, peer_transport),
+        AlarmService(),
     ):
         kernel.register(service)
     return kernel
