Find silent heads sooner

Change: patience of one objective, 0.35 s at least, for a send to another head with no more to do; members are believed lost after 0.25 s.

--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -36,9 +36,9 @@
 MIN_SEND_S = 0.02
 # Silence that makes another backend server the better bet, as a multiple of the
 # objective, and its least value.
-FIRST_EVENT_PATIENCE = 1.6
-GAP_PATIENCE = 2.0
-MIN_PATIENCE_S = 0.5
+FIRST_EVENT_PATIENCE = 1.0
+GAP_PATIENCE = 1.5
+MIN_PATIENCE_S = 0.35
 SUSPECT_PATIENCE_S = 0.25
 # A backend server that sent anything within this time is not standing still.
 LIVELY_S = 0.3
@@ -217,6 +217,9 @@
             if not exchange.done():
                 exchange.cancel()
                 await asyncio.wait({exchange})
+            elif not exchange.cancelled():
+                # Taken here, since nobody else does when the caller has left.
+                exchange.exception()
         if isinstance(outcome, NotSent | NotRun):
             sends.may_have_run -= 1
         if sends.first_event_at is None:
@@ -299,7 +302,11 @@
         )
         match choice:
             case Forward(backend):
-                return not self._placement.is_suspect(backend)
+                now = self._kernel.clock.time()
+                other = self._placement.load(backend)
+                return not other.is_suspect(now) and (
+                    other.expected(now) <= load.expected(now)
+                )
         return False
 
     def _note_health(self, backend, load, outcome):
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -66,10 +66,6 @@
             load = self.loads_by_key[key] = BackendLoad(backend.id)
         return load
 
-    def is_suspect(self, backend):
-        """Tell whether ``backend`` is left out at present."""
-        return self.load(backend).is_suspect(self._kernel.clock.time())
-
     def choose(self, service, model, *, excluded=()):
         """Return `Forward`, `Full` or `Missing` for a request.
 
--- a/pimentogap/platform/_engines.py
+++ b/pimentogap/platform/_engines.py
@@ -18,7 +18,7 @@
 )
 
 ORDER_TIMEOUT_S = 1.0
-REPORT_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 0.25
 DONE_STATUS = 200
 
 
