--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -21,7 +21,7 @@
     """Return how many groups of each model the backend servers have room for.
 
     Groups are counted one by one for the model that is shortest against its
-    share, in the fabric domain with the most room.
+    share, in the fabric domain with the least room that is enough.
 
     :param engine: the `EngineSpec` of the service.
     :param sizes_by_domain: usable backend servers of each fabric domain.
@@ -31,9 +31,10 @@
     counts = {spec.name: 0 for spec in engine.models}
     while True:
         for spec in _by_need(engine, counts):
-            domain = max(room, key=room.get, default=None)
-            if domain is not None and room[domain] >= spec.size:
-                room[domain] -= spec.size
+            fitting = [name for name in room if room[name] >= spec.size]
+            if fitting:
+                # The tightest fit leaves room where a larger model still fits.
+                room[min(fitting, key=room.get)] -= spec.size
                 counts[spec.name] += 1
                 break
         else:
@@ -85,7 +86,7 @@
                 continue
             chosen = _pick(members, spec, last_model_by_id)
             cold = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
-            options.append((cold, -len(members), chosen))
+            options.append((cold, len(members), chosen))
         if options:
             cold, _, chosen = min(options, key=lambda option: option[:2])
             return Plan(spec, tuple(chosen), cold > 0)
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -39,6 +39,8 @@
 FIRST_EVENT_PATIENCE = 1.0
 GAP_PATIENCE = 1.5
 MIN_PATIENCE_S = 0.35
+# Patience with a backend server whose slots are all taken, against an idle one.
+FULL_PATIENCE = 2.0
 SUSPECT_PATIENCE_S = 0.25
 # A backend server that sent anything within this time is not standing still.
 LIVELY_S = 0.3
@@ -285,6 +287,8 @@
             patience_s = max(MIN_PATIENCE_S, FIRST_EVENT_PATIENCE * route.first_byte_s)
         else:
             patience_s = max(MIN_PATIENCE_S, GAP_PATIENCE * route.max_gap_s)
+        if not load.is_suspect(now):
+            patience_s *= max(1.0, FULL_PATIENCE * load.fullness(now))
         due = relay.progress_at + patience_s
         # A head that answers others is alive; this request may only be queued.
         lively_until = load.progress_at + LIVELY_S
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -14,6 +14,7 @@
 
     __slots__ = (
         "backend_id",
+        "slots",
         "in_flight",
         "_reported",
         "_reported_at",
@@ -23,8 +24,9 @@
         "progress_at",
     )
 
-    def __init__(self, backend_id):
+    def __init__(self, backend_id, slots):
         self.backend_id = backend_id
+        self.slots = slots
         self.in_flight = 0
         self._reported = 0
         self._reported_at = -math.inf
@@ -62,3 +64,7 @@
         if others:
             others *= 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_S)
         return self.in_flight + others
+
+    def fullness(self, now):
+        """Return the expected requests for each slot."""
+        return self.expected(now) / self.slots
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -63,7 +63,7 @@
         key = _key(backend)
         load = self.loads_by_key.get(key)
         if load is None:
-            load = self.loads_by_key[key] = BackendLoad(backend.id)
+            load = self.loads_by_key[key] = BackendLoad(backend.id, backend.slots)
         return load
 
     def choose(self, service, model, *, excluded=()):
@@ -85,7 +85,7 @@
         return self._least(sound or candidates, now)
 
     def _least(self, candidates, now):
-        loads = [self.load(item).expected(now) / item.slots for item in candidates]
+        loads = [self.load(item).fullness(now) for item in candidates]
         least = min(loads)
         if least >= QUEUE_FACTOR:
             return Full(least)
