Have members leave a group before they join another

Ruled out: late orders; the joins were carried out at once. Change: nobody is free before the list shows it without a group; the head of a group that lost a member closes while the others leave.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -68,3 +68,13 @@
     When a replica of a group of model large says that it drains
     And 1.5 seconds pass
     Then no new request reaches the draining group
+
+  Scenario: Members of a head that is only cut off from the store leave it first
+    Given traffic has begun
+    When 60 seconds pass
+    And orders to leave take 0.5 seconds
+    And the head of a group of model large is cut off from the store
+    And its entry lapses
+    And 25 seconds pass
+    Then there are at least 3 open groups of model large
+    And no promise about groups was broken
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -91,6 +91,13 @@
     fleet.lose_replica(context.lost)
 
 
+@when("the head of a group of model {model} is cut off from the store")
+def when_head_cut(context, model):
+    head = context.paused.fleet.open_groups(model)[0]
+    head.cut_from_store = True
+    context.lost = head.id
+
+
 @when("its entry lapses")
 def when_lapses(context):
     context.paused.fleet.store.remove("servers", context.lost)
@@ -193,6 +200,12 @@
         replica.late_orders = share
 
 
+@when("orders to leave take {seconds:g} seconds")
+def when_leaves_slow(context, seconds):
+    for replica in context.paused.fleet.replicas_by_id.values():
+        replica.order_delays_s["leave"] = seconds
+
+
 @then("there are at least {count:d} open groups of model {model}")
 def then_groups(context, count, model):
     heads = [head.id for head in context.paused.fleet.open_groups(model)]
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -43,6 +43,7 @@
 EPOCHS_FOR_EACH_TERM = 100000
 # An order without an answer may be carried out this much later.
 LATE_ORDER_S = 12.5
+SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
 LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
 # Loads before the first request take a tenth of the time and are not counted.
 FREE_LOADS_S = 9.0
@@ -230,7 +231,7 @@
             and backend.state is BackendState.READY
             and backend.id not in self._lost_ids
             and now >= self._unsettled_until_by_id.get(backend.id, 0.0)
-            and self._is_released(backend, groups)
+            and backend.membership is None
         ]
         sizes_by_domain = {}
         for backend in backends:
@@ -295,38 +296,30 @@
         log.info("group adopted", group=group.name, members=forming.members)
 
     def _dissolve(self, group):
-        """Free the members of a group that cannot serve: the head first."""
+        """Have the members of a group that cannot serve leave it.
+
+        Nobody joins another group before the list shows that it has left: the
+        list may be older than the head's state, and a head that is not listed
+        may still be open.
+        """
+        members = group.members_by_rank.values()
+        lost = any(item.id in self._lost_ids for item in members)
+        draining = any(item.state is BackendState.DRAINING for item in members)
         head = group.head
-        order = LeaveGroup(group.name, group.epoch)
         if head is not None and head.id not in self._lost_ids:
-            if head.membership.state in (MemberState.OPEN, MemberState.CLOSING):
-                planned = any(
-                    item.state is BackendState.DRAINING
-                    for item in group.members_by_rank.values()
-                ) and not any(
-                    item.id in self._lost_ids for item in group.members_by_rank.values()
-                )
-                preempt = not planned
-                if head.membership.state is MemberState.OPEN:
-                    self._ask(head, CloseGroup(group.name, group.epoch, preempt))
+            if head.membership.state is MemberState.OPEN:
+                preempt = lost or not draining
+                self._ask(head, CloseGroup(group.name, group.epoch, preempt))
+                if not preempt:
+                    return
+            elif head.membership.state is MemberState.CLOSING and not lost:
                 return
-            self._ask(head, order)
-            return
-        for member in group.members_by_rank.values():
-            if member.id not in self._lost_ids:
-                self._ask(member, order)
-
-    def _is_released(self, backend, groups):
-        """Tell whether ``backend`` may join another group now."""
-        place = backend.membership
-        if place is None:
-            return True
-        group = groups.get((place.group, place.epoch))
-        head = group.head if group else None
-        return head is None or head.membership.state not in (
-            MemberState.OPEN,
-            MemberState.CLOSING,
-        )
+        for member in members:
+            if member.id in self._lost_ids or (
+                member is head and head.membership.state in SERVING_STATES
+            ):
+                continue
+            self._ask(member, LeaveGroup(group.name, group.epoch))
 
     def _form(self, service, free, counts, targets):
         plans = plan_groups(
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -33,7 +33,8 @@
 
     Faults: ``dark`` gives no answer to anybody; ``late_orders`` is the share of
     orders that are carried out some seconds later and never answered;
-    ``slow_x`` multiplies the times of its group.
+    ``order_delays_s`` holds back orders by their operation; ``slow_x``
+    multiplies the times of its group.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         "dark",
         "cut_from_store",
         "late_orders",
+        "order_delays_s",
         "slow_x",
         "running",
         "slots",
@@ -91,6 +93,7 @@
         self.dark = False
         self.cut_from_store = False
         self.late_orders = 0.0
+        self.order_delays_s = {}
         self.slow_x = 1.0
         self.slots = engine["slots"]
         self.staged = []
@@ -179,6 +182,8 @@
         if self._random.random() < self.late_orders:
             self._begin(self._carry_out_late(order))
             await asyncio.sleep(SILENCE_S)
+        # Orders on different connections may overtake each other.
+        await asyncio.sleep(self.order_delays_s.get(order["operation"], 0.0))
         await self._answer(reply, self._carry_out(order), {})
 
     async def _carry_out_late(self, order):
