Spread larger groups over domains, and wait for members that are leaving

Cause: the tightest fit put two larger groups into one domain and left it no spare; and a repair took two spares although a survivor was about to leave. Change: domains that keep a spare come first; a domain in which a group is dissolving waits up to 1 s. The scenario on late orders loses members in two domains now, since two losses in one leave no room for three groups of each, and it asks for both models.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -56,11 +56,12 @@
     When 0.5 of the orders are carried out late and not answered
     And a member of a group of model large is lost for good
     And its entry lapses
-    And a member of a group of model small is lost for good
+    And a member of the last group of model small is lost for good
     And its entry lapses
     And 0.0 of the orders are carried out late and not answered
     And 40 seconds pass
-    Then there are at least 3 open groups of model small
+    Then there are at least 3 open groups of model large
+    And there are at least 3 open groups of model small
     And no promise about groups was broken
 
   Scenario: Nothing new reaches a group with a draining member
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -84,6 +84,14 @@
     fleet.lose_replica(context.lost)
 
 
+@when("a member of the last group of model {model} is lost for good")
+def when_last_member_lost(context, model):
+    fleet = context.paused.fleet
+    head = fleet.open_groups(model)[-1]
+    context.lost = head.place.members[-1]
+    fleet.lose_replica(context.lost)
+
+
 @when("the head of a group of model {model} is lost for good")
 def when_head_lost(context, model):
     fleet = context.paused.fleet
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -86,9 +86,10 @@
                 continue
             chosen = _pick(members, spec, last_model_by_id)
             cold = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
-            options.append((cold, len(members), chosen))
+            crowded = len(members) < spec.size + spares
+            options.append((cold, crowded, len(members), chosen))
         if options:
-            cold, _, chosen = min(options, key=lambda option: option[:2])
+            cold, _, _, chosen = min(options, key=lambda option: option[:3])
             return Plan(spec, tuple(chosen), cold > 0)
     return None
 
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -49,6 +49,7 @@
 FREE_LOADS_S = 9.0
 PROBE_INTERVAL_S = 0.6
 ALARM_S = 0.4
+SETTLING_S = 1.0
 
 
 class Forming:
@@ -108,6 +109,7 @@
         "_lost_ids",
         "_probed_at",
         "_alarmed_until_by_id",
+        "_dissolving_since_by_key",
         "_staging_by_id",
         "_started_at",
         "_list_size",
@@ -143,6 +145,7 @@
         self._lost_ids = {}
         self._probed_at = {}
         self._alarmed_until_by_id = {}
+        self._dissolving_since_by_key = {}
         self._staging_by_id = {}
 
     async def start(self, kernel):
@@ -224,10 +227,12 @@
                 del self._forming_by_key[key]
         counts = Counter(models_by_key.values())
         now = self._kernel.clock.time()
+        settling = self._settling_domains(groups, now)
         free = [
             backend
             for backend in backends
             if backend.id not in busy_ids
+            and backend.domain not in settling
             and backend.state is BackendState.READY
             and backend.id not in self._lost_ids
             and now >= self._unsettled_until_by_id.get(backend.id, 0.0)
@@ -244,6 +249,22 @@
         self._form(service, free, counts, targets)
         self._stage_spares(service, free, groups)
 
+    def _settling_domains(self, groups, now):
+        """Return the domains in which members are just leaving a dissolved group.
+
+        Those have the weights at hand; waiting for them spares the spares.
+        """
+        since_by_key = self._dissolving_since_by_key
+        for key in [key for key in since_by_key if key not in groups]:
+            del since_by_key[key]
+        return {
+            member.domain
+            for key, since in since_by_key.items()
+            if now - since < SETTLING_S
+            for member in groups[key].members_by_rank.values()
+            if member.id not in self._lost_ids
+        }
+
     def _note_models(self, backends):
         for backend in backends:
             place = backend.membership
@@ -302,6 +323,8 @@
         list may be older than the head's state, and a head that is not listed
         may still be open.
         """
+        now = self._kernel.clock.time()
+        self._dissolving_since_by_key.setdefault((group.name, group.epoch), now)
         members = group.members_by_rank.values()
         lost = any(item.id in self._lost_ids for item in members)
         draining = any(item.state is BackendState.DRAINING for item in members)
