--- a/pimentogap/ingress/_service.py
+++ b/pimentogap/ingress/_service.py
@@ -80,6 +80,7 @@
         "_kernel",
         "_server",
         "_readiness",
+        "_metrics_server",
         "_idle_streams",
         "_exchanges",
         "_was_ready",
@@ -99,6 +100,7 @@
         self._kernel = None
         self._server = None
         self._readiness = None
+        self._metrics_server = None
         self._idle_streams = set()
         self._exchanges = set()
         self._was_ready = None
@@ -112,15 +114,14 @@
         metrics = kernel.get("metrics")
         self._server = CallerServer(self)
         self._server.add_sockets(_bind(self._settings.caller_address))
-        application = Application(
-            [
-                (r"/metrics", MetricsHandler, {"metrics": metrics}),
-                (r"/.*", ReadinessHandler, {"ingress": self}),
-            ],
-            log_function=lambda handler: None,
+        self._readiness = _serve(
+            self._settings.readiness_address,
+            (r"/.*", ReadinessHandler, {"ingress": self}),
+        )
+        self._metrics_server = _serve(
+            self._settings.metrics_address,
+            (r"/metrics", MetricsHandler, {"metrics": metrics}),
         )
-        self._readiness = HTTPServer(application)
-        self._readiness.add_sockets(_bind(self._settings.readiness_address))
 
     async def stop(self):
         """Let requests end, and stop before the platform's patience ends."""
@@ -138,6 +139,7 @@
         log.notice("drained", left=len(self._exchanges))
         self._server.stop()
         self._readiness.stop()
+        self._metrics_server.stop()
 
     def now(self):
         """Return the time of the runtime's clock."""
@@ -209,6 +211,12 @@
                 stream.close()
 
 
+def _serve(address, handler):
+    server = HTTPServer(Application([handler], log_function=lambda handler: None))
+    server.add_sockets(_bind(address))
+    return server
+
+
 def _bind(address):
     host, _, port = address.rpartition(":")
     return bind_sockets(int(port), host.strip("[]"), backlog=BACKLOG)
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -21,6 +21,7 @@
     readiness_address: str
     store_address: str
     inner_port: int = 0
+    metrics_port: int = 9464
     first_start: bool = False
     heartbeat_s: float = 1.2
     grace_s: float = 8.0
@@ -32,6 +33,11 @@
     load_window_s: float = 5.0
     max_descriptors: int = 1024
 
+    @property
+    def metrics_address(self):
+        """Return where counters and histograms are served."""
+        return f"{self.ip}:{self.metrics_port}"
+
     @property
     def inner_address(self):
         """Return where other daemons reach this one."""
