Plan groups by the work that heads report

Change: the leader blends the configuration's shares with the busy slots of each model's heads, and plans and uses spares by that.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -79,3 +79,13 @@
     And 25 seconds pass
     Then there are at least 3 open groups of model large
     And no promise about groups was broken
+
+  Scenario Outline: Targets follow the configuration and what was measured
+    Given an engine with the usual models and <busy large> and <busy small> busy groups
+    Then 6 domains of 8 have room for <large> large and <small> small groups
+
+    Examples:
+      | busy large | busy small | large | small |
+      | 0          | 0          | 6     | 6     |
+      | 3          | 1          | 6     | 6     |
+      | 1          | 6          | 5     | 8     |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,7 +4,12 @@
 from behave import given, then, when
 
 from pimentogap.errors import InvalidDocument
-from pimentogap.platform import decode_backend, load_platform_settings
+from pimentogap.formation import Demand, target_counts
+from pimentogap.platform import (
+    decode_backend,
+    decode_configuration,
+    load_platform_settings,
+)
 from standins.emulator import (
     EmulatedFleet,
     configuration_document,
@@ -314,6 +319,25 @@
             assert run.workspace == "w1", run
 
 
+@given("an engine with the usual models and {large:g} and {small:g} busy groups")
+def given_engine(context, large, small):
+    service = configuration_document(1)["services"][0]
+    document = configuration_document(1, services=[service])
+    context.engine = decode_configuration(document).services_by_name["llm"].engine
+    context.demand = Demand()
+    context.demand.note({"large": large, "small": small}, 0.0)
+
+
+@then(
+    "{n:d} domains of {size:d} have room for {large:d} large and {small:d} small groups"
+)
+def then_targets(context, n, size, large, small):
+    sizes = {f"d{index}": size for index in range(n)}
+    wants = context.demand.wants(context.engine)
+    counts = target_counts(context.engine, sizes, wants, spares=1)
+    assert counts == {"large": large, "small": small}, counts
+
+
 @then("the entry {entry} names no backend server")
 def then_no_backend(context, entry):
     assert decode_backend("i-1", yaml.safe_load(entry)) is None
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -17,7 +17,7 @@
     needs_load: bool
 
 
-def target_counts(engine, sizes_by_domain, *, spares):
+def target_counts(engine, sizes_by_domain, wants, *, spares):
     """Return how many groups of each model the backend servers have room for.
 
     Groups are counted one by one for the model that is shortest against its
@@ -25,12 +25,13 @@
 
     :param engine: the `EngineSpec` of the service.
     :param sizes_by_domain: usable backend servers of each fabric domain.
+    :param wants: for each model, its part of the work.
     :param spares: how many to leave free in each fabric domain.
     """
     room = {name: size - spares for name, size in sizes_by_domain.items()}
     counts = {spec.name: 0 for spec in engine.models}
     while True:
-        for spec in _by_need(engine, counts):
+        for spec in _by_need(engine, counts, wants):
             fitting = [name for name in room if room[name] >= spec.size]
             if fitting:
                 # The tightest fit leaves room where a larger model still fits.
@@ -41,7 +42,9 @@
             return counts
 
 
-def plan_groups(engine, free, counts_by_model, last_model_by_id, targets, *, spares):
+def plan_groups(
+    engine, free, counts_by_model, last_model_by_id, targets, wants, *, spares
+):
     """Return the groups to form from ``free`` backend servers.
 
     :param engine: the `EngineSpec` of the service.
@@ -49,6 +52,7 @@
     :param counts_by_model: groups that exist or are being formed.
     :param last_model_by_id: the model of each one's last group.
     :param targets: what `target_counts` returned.
+    :param wants: for each model, its part of the work.
     :param spares: how many to leave free where no group is short of its target.
     """
     free_by_domain = {}
@@ -59,7 +63,7 @@
     plans = []
     while True:
         plan = _next_plan(
-            engine, free_by_domain, counts, last_model_by_id, targets, spares
+            engine, free_by_domain, counts, last_model_by_id, targets, wants, spares
         )
         if plan is None:
             return plans
@@ -72,9 +76,11 @@
         ]
 
 
-def _next_plan(engine, free_by_domain, counts, last_model_by_id, targets, spares):
+def _next_plan(
+    engine, free_by_domain, counts, last_model_by_id, targets, wants, spares
+):
     """Return the next group, for the model that is shortest against its share."""
-    for place, spec in enumerate(_by_need(engine, counts)):
+    for place, spec in enumerate(_by_need(engine, counts, wants)):
         short = counts.get(spec.name, 0) < targets.get(spec.name, 0)
         if place and not short:
             # What is free is kept for the model that needs it most.
@@ -94,16 +100,19 @@
     return None
 
 
-def _by_need(engine, counts):
-    """Return the models, the one that is shortest against its share first."""
-    return sorted(
-        engine.models, key=lambda spec: (counts.get(spec.name, 0) + 0.5) / _want(spec)
-    )
+def configured_wants(engine):
+    """Return each model's part of the work, as the configuration estimates it."""
+    work = {spec.name: max(0.01, spec.share) * spec.pace for spec in engine.models}
+    total = sum(work.values())
+    return {name: part / total for name, part in work.items()}
 
 
-def _want(spec):
-    """Return the number of groups that a unit of traffic needs, relative to others."""
-    return max(0.01, spec.share) * spec.pace
+def _by_need(engine, counts, wants):
+    """Return the models, the one that is shortest against its work first."""
+    return sorted(
+        engine.models,
+        key=lambda spec: (counts.get(spec.name, 0) + 0.5) / wants[spec.name],
+    )
 
 
 def _pick(members, spec, last_model_by_id):
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -6,6 +6,7 @@
 
 from pimentogap.directory import MODEL_SEPARATOR, group_name, groups_of
 from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
+from pimentogap.formation._demand import Demand
 from pimentogap.formation._limiter import LoadLimiter
 from pimentogap.formation._plan import (
     SPARES_FOR_EACH_DOMAIN,
@@ -110,6 +111,7 @@
         "_probed_at",
         "_alarmed_until_by_id",
         "_dissolving_since_by_key",
+        "_demand_by_service",
         "_staging_by_id",
         "_started_at",
         "_list_size",
@@ -146,6 +148,7 @@
         self._probed_at = {}
         self._alarmed_until_by_id = {}
         self._dissolving_since_by_key = {}
+        self._demand_by_service = {}
         self._staging_by_id = {}
 
     async def start(self, kernel):
@@ -243,12 +246,25 @@
             if backend.state is BackendState.READY and backend.id not in self._lost_ids:
                 size = sizes_by_domain.get(backend.domain, 0)
                 sizes_by_domain[backend.domain] = size + 1
+        wants = self._measured_wants(service, now)
         targets = target_counts(
-            service.engine, sizes_by_domain, spares=SPARES_FOR_EACH_DOMAIN
+            service.engine, sizes_by_domain, wants, spares=SPARES_FOR_EACH_DOMAIN
         )
-        self._form(service, free, counts, targets)
+        self._form(service, free, counts, targets, wants)
         self._stage_spares(service, free, groups)
 
+    def _measured_wants(self, service, now):
+        """Return each model's part of the work, by what its open heads report."""
+        demand = self._demand_by_service.setdefault(service.name, Demand())
+        busy_by_model = {}
+        for spec in service.engine.models:
+            heads = self._directory.heads(service.name, spec.name)
+            busy_by_model[spec.name] = sum(
+                self._placement.load(head).fullness(now) for head in heads
+            )
+        demand.note(busy_by_model, now)
+        return demand.wants(service.engine)
+
     def _settling_domains(self, groups, now):
         """Return the domains in which members are just leaving a dissolved group.
 
@@ -344,13 +360,14 @@
                 continue
             self._ask(member, LeaveGroup(group.name, group.epoch))
 
-    def _form(self, service, free, counts, targets):
+    def _form(self, service, free, counts, targets, wants):
         plans = plan_groups(
             service.engine,
             free,
             counts,
             self._last_model_by_id,
             targets,
+            wants,
             spares=SPARES_FOR_EACH_DOMAIN,
         )
         now = self._kernel.clock.time()
