Decode only what decisions use

Cause: the adapter decoded fields that nothing read. Change: removed, with the types that held them.

--- a/pimentogap/forwarding/_routes.py
+++ b/pimentogap/forwarding/_routes.py
@@ -30,7 +30,6 @@
     route: Route
     service: str
     workspace: str | None
-    priority: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,17 +51,14 @@
     route = find_route(configuration, request.host, request.path)
     if route is None:
         return Rejected(RejectReason.NO_ROUTE)
-    workspace, priority = None, route.priority
-    if configuration.holders_by_key is not None:
-        holder = configuration.holders_by_key.get(request.needs.key)
-        if holder is None and route.needs_key:
+    workspace = None
+    if configuration.workspaces_by_key is not None:
+        workspace = configuration.workspaces_by_key.get(request.needs.key)
+        if workspace is None and route.needs_key:
             return Rejected(RejectReason.UNKNOWN_KEY)
-        if holder is not None:
-            workspace = holder.workspace
-            priority = route.priority if holder.priority is None else holder.priority
     if not request.needs.attempt_id:
         return Rejected(RejectReason.NO_ATTEMPT_ID)
-    return Admitted(route, _pick(route.splits, rng), workspace, priority)
+    return Admitted(route, _pick(route.splits, rng), workspace)
 
 
 def find_route(configuration, host, path):
--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -5,7 +5,6 @@
 from pimentogap.types import (
     CallerLimits,
     EngineSpec,
-    KeyHolder,
     ModelSpec,
     Route,
     RouteKind,
@@ -48,7 +47,7 @@
         routes=routes,
         services_by_name={service.name: service for service in services},
         limits=_limits(data.get("limits") or {}),
-        holders_by_key=_holders(data.get("tenants")),
+        workspaces_by_key=_workspaces(data.get("tenants")),
         routes_by_host=by_host,
     )
 
@@ -65,7 +64,6 @@
         first_byte_s=(item.get("targetLatencyMs") or timeout_ms) / MS,
         max_gap_s=(item.get("targetGapMs") or 0) / MS,
         max_attempts=int(item.get("maxAttempts") or 1),
-        priority=_priority(item, 5),
         needs_key=not item.get("authExempt", False),
         # The platform calls a route sticky if its requests name a model.
         carries_model=bool(item.get("sticky", False)),
@@ -82,17 +80,10 @@
     return (Split(item["service"], 1.0),)
 
 
-def _priority(item, default):
-    value = item.get("priority")
-    return default if value is None else int(value)
-
-
 def _service(item):
     engine = item.get("engine")
     return ServiceSpec(
         name=item["name"],
-        health_path=item.get("healthPath") or "/health",
-        max_connections=int(item.get("maxConns") or 64),
         engine=_engine(engine) if engine else None,
     )
 
@@ -105,18 +96,12 @@
             share=float(model.get("share") or 0),
             pace=float(model.get("pace") or 1),
             load_s=float(model.get("loadS") or 15),
-            warm_s=float(model.get("warmS") or 1.5),
         )
         for model in item.get("models") or ()
     )
     return EngineSpec(
-        slots=int(item.get("slots") or 1),
         models=models,
-        step_s=float(item.get("step_ms") or 6) / MS,
-        step_per_request_s=float(item.get("per_seq_ms") or 0.5) / MS,
-        tokens_read_per_s=float(item.get("read_per_s") or 46000),
         loads_per_s=float(item.get("loadsPerS") or 4),
-        form_s=float(item.get("formMs") or 300) / MS,
     )
 
 
@@ -124,16 +109,13 @@
     return CallerLimits(
         max_header_bytes=int(item.get("maxHeaderBytes") or 16384),
         max_body_bytes=int(item.get("maxBodyBytes") or 4 * 2**20),
-        header_timeout_s=(item.get("headerTimeoutMs") or 3000) / MS,
         idle_timeout_s=(item.get("idleTimeoutMs") or 15000) / MS,
     )
 
 
-def _holders(tenants):
+def _workspaces(tenants):
     if not tenants:
         return None
     return {
-        key: KeyHolder(tenant["name"], tenant.get("priority"))
-        for tenant in tenants
-        for key in tenant.get("apiKeys") or ()
+        key: tenant["name"] for tenant in tenants for key in tenant.get("apiKeys") or ()
     }
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -6,12 +6,10 @@
 DEADLINE = "X-Pimentogap-Deadline-Ms"
 EXPECTED_BACKEND = "X-Pimentogap-Expect-Replica"
 WORKSPACE = "X-Pimentogap-Tenant"
-URGENCY = "X-Pimentogap-Urgency-Class"
 NOT_RUN = "X-Pimentogap-Not-Executed"
 LOAD = "X-Pimentogap-Replica-Load"
 SEAL = "X-Pimentogap-Replica-Seal"
 MODEL = "X-Pimentogap-Model"
-TOKENS = "X-Pimentogap-Token-Count"
 CULPRIT = "At-Server"
 LAST_EVENT = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
@@ -51,15 +49,12 @@
 
     def needs(self, headers):
         """Return the `RequestNeeds` that a request's ``headers`` state."""
-        prompt, output = _tokens(headers.get(TOKENS))
         deadline_ms = _number(headers.get(DEADLINE))
         return RequestNeeds(
             attempt_id=headers.get(ATTEMPT_ID, ""),
             deadline_s=None if deadline_ms is None else deadline_ms / MS,
             key=_key(headers.get(AUTHORIZATION, "")),
             model=headers.get(MODEL, ""),
-            prompt_tokens=prompt,
-            max_output_tokens=output,
             last_event_id=_whole(headers.get(LAST_EVENT)),
         )
 
@@ -126,11 +121,6 @@
     return None
 
 
-def _tokens(text):
-    prompt, _, output = (text or "").partition(",")
-    return _whole(prompt) or 0, _whole(output) or 0
-
-
 def _load(text):
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -6,8 +6,6 @@
 from pimentogap.schema import Problem
 from pimentogap.settings import FrontSettings
 
-MS = 1000.0
-
 
 def load_platform_settings(text):
     """Return the `FrontSettings` that the platform's YAML ``text`` holds.
@@ -29,26 +27,20 @@
 
 def _decode(data):
     bounds = data.get("bounds") or {}
-    limits = data.get("limits") or {}
     ports = data.get("innerPorts") or [0, 0]
     listen = data["listenAddrs"]
     return FrontSettings(
         id=data["nodeName"],
         availability_zone=data["zone"],
-        zones=tuple(data.get("zones") or (data["zone"],)),
         ip=data["ip"],
         caller_address=listen["front"],
         readiness_address=listen["ready"],
         store_address=data["platformInfo"]["addr"],
         inner_port=int(ports[0]),
         first_start=bool(data.get("bootstrap", False)),
-        heartbeat_s=data.get("beatIntervalMs", 1200) / MS,
         grace_s=float(bounds.get("graceS", 8)),
-        stall_s=bounds.get("stallMs", 4000) / MS,
-        drain_s=bounds.get("drainMs", 2000) / MS,
         retry_ratio=float(bounds.get("retryBudgetRatio", 0.2)),
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         retry_slack=float(bounds.get("retryBudgetSlack", 0)),
         load_window_s=float(bounds.get("ceilingWindowS", 5)),
-        max_descriptors=int(limits.get("maxFds", 1024)),
     )
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -37,7 +37,6 @@
     first_byte_s: float
     max_gap_s: float = 0.0
     max_attempts: int = 1
-    priority: int = 5
     needs_key: bool = True
     carries_model: bool = False
     resumable: bool = False
@@ -54,8 +53,8 @@
 class ModelSpec:
     """A model of a service, and what its groups need; times are for a whole group.
 
-    ``load_s`` is the time to load from the weight store, ``warm_s`` from a host
-    that has the weights; ``pace`` is a factor on every time of the group.
+    ``load_s`` is the time to load from the weight store; ``pace`` is a factor on
+    every time of the group.
     """
 
     name: str
@@ -63,24 +62,14 @@
     share: float
     pace: float = 1.0
     load_s: float = 15.0
-    warm_s: float = 1.5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSpec:
-    """How the model replicas of a service batch and read prompts.
+    """The models of a service, and the bound on loads from the weight store."""
 
-    ``step_s`` is the time of one token, to which each running request adds
-    ``step_per_request_s``; ``loads_per_s`` bounds loads from the weight store.
-    """
-
-    slots: int
     models: tuple
-    step_s: float = 0.006
-    step_per_request_s: float = 0.0005
-    tokens_read_per_s: float = 46000.0
     loads_per_s: float = 4.0
-    form_s: float = 0.3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,8 +77,6 @@
     """A service that routes name; ``engine`` is ``None`` for a plain one."""
 
     name: str
-    health_path: str = "/health"
-    max_connections: int = 64
     engine: EngineSpec | None = None
 
 
@@ -99,18 +86,9 @@
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 * 2**20
-    header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
 
-@dataclass(frozen=True, slots=True)
-class KeyHolder:
-    """The workspace that holds a key, with its priority if it has one."""
-
-    workspace: str
-    priority: int | None
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServingConfiguration:
     """One version of everything that decides where requests go."""
@@ -119,7 +97,7 @@
     routes: tuple
     services_by_name: dict
     limits: CallerLimits
-    holders_by_key: dict | None = None
+    workspaces_by_key: dict | None = None
     routes_by_host: dict = field(default_factory=dict)
 
 
@@ -180,8 +158,6 @@
     deadline_s: float | None = None
     key: str | None = None
     model: str = ""
-    prompt_tokens: int = 0
-    max_output_tokens: int = 0
     last_event_id: int | None = None
 
 
