--- a/front.py
+++ b/front.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from pimentogap.programs._front import run_front
+from pimentogap.programs import run_front
 
 sys.exit(run_front())
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -7,8 +7,9 @@
 class FrontSettings:
     """Settings of one front daemon. Times are in seconds.
 
-    ``grace_s`` is the time from SIGTERM to SIGKILL; ``retry_ratio``, ``retry_window_s`` and ``retry_slack`` bound the second
-    sends of the whole fleet.
+    ``grace_s`` is the time from SIGTERM to SIGKILL; ``retry_ratio``,
+    ``retry_window_s`` and ``retry_slack`` bound the second sends of the whole
+    fleet; ``load_window_s`` is the window in which loads of weights are counted.
     """
 
     id: str
