--- a/features/run.py
+++ b/features/run.py
@@ -10,7 +10,7 @@
 
 HASH_SEED = "0"
 KNOWN_RED = Path("KNOWN-RED.txt")
-HISTORIES_BY_SUITE = {"tickets": 40, "actions": 60, "groups": 20}
+HISTORIES_BY_SUITE = {"tickets": 40, "actions": 60, "groups": 20, "front": 30}
 SEED = 1
 
 
--- a/fuzz/__init__.py
+++ b/fuzz/__init__.py
@@ -1,9 +1,10 @@
 """Stateful fuzzing: random histories with faults, judged by simple oracles."""
 
-from fuzz import _actions, _groups, _tickets
+from fuzz import _actions, _front, _groups, _tickets
 
 SUITES_BY_NAME = {
-    suite.name: suite for suite in (_tickets.SUITE, _actions.SUITE, _groups.SUITE)
+    suite.name: suite
+    for suite in (_tickets.SUITE, _actions.SUITE, _groups.SUITE, _front.SUITE)
 }
 
 __all__ = ["SUITES_BY_NAME"]
