--- /dev/null
+++ b/pimentogap/formation/_losses.py
@@ -0,0 +1,87 @@
+"""Finds members that have stopped answering before the list says so."""
+
+from logbook import Logger
+
+from pimentogap.errors import ConnectionFailed, ResponseLost
+
+log = Logger("formation.losses")
+
+OWNER = "formation"
+PROBE_INTERVAL_S = 0.6
+ALARM_S = 0.4
+
+
+class LossWatch:
+    """Asks the members of groups whose head fell silent, and remembers the lost."""
+
+    __slots__ = (
+        "_kernel",
+        "_engines",
+        "_lost_ids",
+        "_probed_at_by_key",
+        "_alarmed_until_by_id",
+    )
+
+    def __init__(self, kernel, engines):
+        """Ask by ``engines``."""
+        self._kernel = kernel
+        self._engines = engines
+        self._lost_ids = set()
+        self._probed_at_by_key = {}
+        self._alarmed_until_by_id = {}
+
+    def is_lost(self, backend_id):
+        """Tell whether a backend server is believed lost."""
+        return backend_id in self._lost_ids
+
+    def alarm(self, backend_id):
+        """Take the head ``backend_id`` for silent for a moment."""
+        now = self._kernel.clock.time()
+        self._alarmed_until_by_id[backend_id] = now + ALARM_S
+
+    def probe_if_silent(self, group):
+        """Ask every member of a group whose head stopped answering whether it lives."""
+        now = self._kernel.clock.time()
+        load = self._kernel.get("placement").load(group.head)
+        if not load.is_suspect(now) and (
+            now >= self._alarmed_until_by_id.get(group.head.id, 0.0)
+        ):
+            return
+        key = (group.name, group.epoch)
+        if now - self._probed_at_by_key.get(key, 0.0) < PROBE_INTERVAL_S:
+            return
+        self._probed_at_by_key[key] = now
+        for member in group.members_by_rank.values():
+            self._kernel.spawn(OWNER, self._probe, member, group)
+
+    async def _probe(self, member, group):
+        try:
+            report = await self._engines.report(member)
+        except (ConnectionFailed, ResponseLost) as error:
+            self._lost_ids.add(member.id)
+            log.warning(
+                "member believed lost",
+                backend=member.id,
+                group=group.name,
+                error=str(error),
+            )
+            self._kernel.spawn(OWNER, self._watch_lost, member)
+            return
+        self._lost_ids.discard(member.id)
+        if report is not None and report.membership != member.membership:
+            log.info("report differs from the list", backend=member.id)
+
+    async def _watch_lost(self, member):
+        """Ask a member that is believed lost again until it answers or is unlisted."""
+        directory = self._kernel.get("directory")
+        while member.id in self._lost_ids:
+            await self._kernel.clock.sleep(PROBE_INTERVAL_S * 2)
+            if member.id not in directory.backends_by_id:
+                break
+            try:
+                await self._engines.report(member)
+                break
+            except (ConnectionFailed, ResponseLost) as error:
+                log.debug("still no answer", backend=member.id, error=str(error))
+        self._lost_ids.discard(member.id)
+        log.info("member no longer believed lost", backend=member.id)
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -5,14 +5,17 @@
 from logbook import Logger
 
 from pimentogap.directory import MODEL_SEPARATOR, group_name, groups_of
-from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
 from pimentogap.formation._demand import Demand
+from pimentogap.formation._forming import Forming
 from pimentogap.formation._limiter import LoadLimiter
+from pimentogap.formation._losses import LossWatch
+from pimentogap.formation._orders import OrderSender
 from pimentogap.formation._plan import (
     SPARES_FOR_EACH_DOMAIN,
     plan_groups,
     target_counts,
 )
+from pimentogap.formation._staging import SpareStaging
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
@@ -21,10 +24,6 @@
     LeaveGroup,
     MemberState,
     OpenGroup,
-    OrderConflict,
-    OrderDone,
-    OrderStarted,
-    OrderUnanswered,
     StageWeights,
 )
 
@@ -36,51 +35,14 @@
 # At the first start of all, backend servers enter the list one after the other.
 FIRST_LIST_STILL_S = 0.8
 FIRST_LIST_S = 5.0
-ORDER_RETRY_S = 1.0
-# A member that has not begun to join by then is given up.
-JOIN_GRACE_S = 3.0
-# Loads that share the weight store take longer than one alone.
-LOAD_PATIENCE = 2.0
 EPOCHS_FOR_EACH_TERM = 100000
-# An order without an answer may be carried out this much later.
-LATE_ORDER_S = 12.5
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
 LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
 # Loads before the first request take a tenth of the time and are not counted.
 FREE_LOADS_S = 9.0
-PROBE_INTERVAL_S = 0.6
-ALARM_S = 0.4
 SETTLING_S = 1.0
 
 
-class Forming:
-    """A group that this leader is forming: from the first join to the open head.
-
-    It is given up at ``join_by`` if a member has not begun to join by then, and
-    at ``ready_by`` if one has not loaded the weights.
-    """
-
-    __slots__ = (
-        "service",
-        "model",
-        "name",
-        "epoch",
-        "members",
-        "join_by",
-        "ready_by",
-    )
-
-    def __init__(self, service, model, *, name, epoch, members, now):
-        """Begin at ``now``, for ``model``, a `ModelSpec` of ``service``."""
-        self.service = service
-        self.model = model.name
-        self.name = name
-        self.epoch = epoch
-        self.members = members
-        self.join_by = now + JOIN_GRACE_S
-        self.ready_by = now + model.load_s * LOAD_PATIENCE + JOIN_GRACE_S
-
-
 class FormationService:
     """Keeps as many complete groups as the backend servers allow.
 
@@ -104,15 +66,12 @@
         "_term_since",
         "_epoch_count",
         "_forming_by_key",
-        "_asked_at",
-        "_unsettled_until_by_id",
+        "_orders",
         "_last_model_by_id",
-        "_lost_ids",
-        "_probed_at",
-        "_alarmed_until_by_id",
+        "_losses",
         "_dissolving_since_by_key",
         "_demand_by_service",
-        "_staging_by_id",
+        "_staging",
         "_started_at",
         "_list_size",
         "_list_size_since",
@@ -135,21 +94,19 @@
         self._started_at = 0.0
         self._list_size = 0
         self._list_size_since = 0.0
-        self._reset(0, 0.0)
+        self._term = 0
+        self._losses = None
 
     def _reset(self, term, now):
         self._term = term
         self._term_since = now
         self._epoch_count = 0
         self._forming_by_key = {}
-        self._asked_at = {}
-        self._unsettled_until_by_id = {}
-        self._lost_ids = {}
-        self._probed_at = {}
-        self._alarmed_until_by_id = {}
+        self._orders = OrderSender(self._kernel, self._engines, term)
+        self._losses = LossWatch(self._kernel, self._engines)
         self._dissolving_since_by_key = {}
         self._demand_by_service = {}
-        self._staging_by_id = {}
+        self._staging = SpareStaging()
 
     async def start(self, kernel):
         """Begin to act whenever the lease is held."""
@@ -166,8 +123,8 @@
 
     def alarm(self, backend_id):
         """Ask the members of the head ``backend_id`` at the next turn."""
-        now = self._kernel.clock.time()
-        self._alarmed_until_by_id[backend_id] = now + ALARM_S
+        if self._losses is not None:
+            self._losses.alarm(backend_id)
 
     async def _run(self):
         clock = self._kernel.clock
@@ -237,13 +194,15 @@
             if backend.id not in busy_ids
             and backend.domain not in settling
             and backend.state is BackendState.READY
-            and backend.id not in self._lost_ids
-            and now >= self._unsettled_until_by_id.get(backend.id, 0.0)
+            and not self._losses.is_lost(backend.id)
+            and not self._orders.is_unsettled(backend.id)
             and backend.membership is None
         ]
         sizes_by_domain = {}
         for backend in backends:
-            if backend.state is BackendState.READY and backend.id not in self._lost_ids:
+            if backend.state is BackendState.READY and not self._losses.is_lost(
+                backend.id
+            ):
                 size = sizes_by_domain.get(backend.domain, 0)
                 sizes_by_domain[backend.domain] = size + 1
         wants = self._measured_wants(service, now)
@@ -278,7 +237,7 @@
             for key, since in since_by_key.items()
             if now - since < SETTLING_S
             for member in groups[key].members_by_rank.values()
-            if member.id not in self._lost_ids
+            if not self._losses.is_lost(member.id)
         }
 
     def _note_models(self, backends):
@@ -293,13 +252,13 @@
         spec = specs.get(group.model)
         size = spec.size if spec else 0
         whole = group.is_complete(size) and not any(
-            item.id in self._lost_ids for item in group.members_by_rank.values()
+            self._losses.is_lost(item.id) for item in group.members_by_rank.values()
         )
         if whole:
             if group.head.membership.state is MemberState.READY:
-                self._ask(group.head, OpenGroup(group.name, group.epoch))
+                self._orders.ask(group.head, OpenGroup(group.name, group.epoch))
             else:
-                self._probe_if_silent(group)
+                self._losses.probe_if_silent(group)
             return True
         if key in self._forming_by_key:
             return False
@@ -313,7 +272,7 @@
         """Tell whether another leader's group is still on its way to be whole."""
         members = group.members_by_rank
         return set(members) == set(range(spec.size)) and all(
-            item.id not in self._lost_ids
+            not self._losses.is_lost(item.id)
             and item.state is BackendState.READY
             and item.membership.state in (MemberState.JOINING, MemberState.READY)
             for item in members.values()
@@ -342,23 +301,23 @@
         now = self._kernel.clock.time()
         self._dissolving_since_by_key.setdefault((group.name, group.epoch), now)
         members = group.members_by_rank.values()
-        lost = any(item.id in self._lost_ids for item in members)
+        lost = any(self._losses.is_lost(item.id) for item in members)
         draining = any(item.state is BackendState.DRAINING for item in members)
         head = group.head
-        if head is not None and head.id not in self._lost_ids:
+        if head is not None and not self._losses.is_lost(head.id):
             if head.membership.state is MemberState.OPEN:
                 preempt = lost or not draining
-                self._ask(head, CloseGroup(group.name, group.epoch, preempt))
+                self._orders.ask(head, CloseGroup(group.name, group.epoch, preempt))
                 if not preempt:
                     return
             elif head.membership.state is MemberState.CLOSING and not lost:
                 return
         for member in members:
-            if member.id in self._lost_ids or (
+            if self._losses.is_lost(member.id) or (
                 member is head and head.membership.state in SERVING_STATES
             ):
                 continue
-            self._ask(member, LeaveGroup(group.name, group.epoch))
+            self._orders.ask(member, LeaveGroup(group.name, group.epoch))
 
     def _form(self, service, free, counts, targets, wants):
         plans = plan_groups(
@@ -405,7 +364,7 @@
             for id_, item in zip(forming.members, backends, strict=True)
             if item is None
             or item.state is not BackendState.READY
-            or id_ in self._lost_ids
+            or self._losses.is_lost(id_)
         ]
         size = len(forming.members)
         if group is not None and group.is_complete(size):
@@ -415,7 +374,7 @@
             log.info("group given up", group=forming.name, lost=lost, term=self._term)
             for item in backends:
                 if item is not None and item.id not in lost:
-                    self._ask(item, LeaveGroup(forming.name, forming.epoch))
+                    self._orders.ask(item, LeaveGroup(forming.name, forming.epoch))
             return False
         join = JoinGroup(forming.name, forming.epoch, forming.model, forming.members)
         for backend in backends:
@@ -424,7 +383,7 @@
                 forming.name,
                 forming.epoch,
             ):
-                self._ask(backend, join)
+                self._orders.ask(backend, join)
         return True
 
     def _admit_loads(self, service, count):
@@ -463,117 +422,7 @@
                 name: (members[name] + 0.5) * load_s
                 for name, load_s in load_s_by_name.items()
             }
-            self._stage_in_domain(service, spares, weights)
-
-    def _stage_in_domain(self, service, spares, weights):
-        """Have the spares of a domain hold what its groups are most likely to need.
-
-        :param weights: for each model, the seconds of loading that the loss of
-            one of its members in the domain would cost, times their number.
-        """
-        held = Counter()
-        unsure = []
-        for backend in sorted(spares, key=lambda item: item.id):
-            asked = self._staging_by_id.get((backend.id, backend.born_ms))
-            names = [name for name in (asked, *backend.staged) if name in weights]
-            if names:
-                held[names[0]] += 1
-            unsure.append((backend, names[0] if names else None))
-        wanted = Counter()
-        for _ in spares:
-            name = max(weights, key=lambda item: weights[item] / (wanted[item] + 1))
-            wanted[name] += 1
-        for backend, has in unsure:
-            if has is not None and held[has] <= wanted[has]:
-                continue
-            missing = [name for name in wanted if held[name] < wanted[name]]
-            if not missing or not self._admit_loads(service, 1):
-                continue
-            held[missing[0]] += 1
-            held[has] -= 1
-            self._staging_by_id[(backend.id, backend.born_ms)] = missing[0]
-            self._ask(backend, StageWeights(missing[0]))
-
-    def _probe_if_silent(self, group):
-        """Ask every member of a group whose head stopped answering whether it lives."""
-        now = self._kernel.clock.time()
-        if not self._placement.load(group.head).is_suspect(now) and (
-            now >= self._alarmed_until_by_id.get(group.head.id, 0.0)
-        ):
-            return
-        key = (group.name, group.epoch)
-        if now - self._probed_at.get(key, 0.0) < PROBE_INTERVAL_S:
-            return
-        self._probed_at[key] = now
-        for member in group.members_by_rank.values():
-            self._kernel.spawn(self.name, self._probe, member, group)
-
-    async def _probe(self, member, group):
-        try:
-            report = await self._engines.report(member)
-        except (ConnectionFailed, ResponseLost) as error:
-            self._lost_ids[member.id] = self._kernel.clock.time()
-            log.warning(
-                "member believed lost",
-                backend=member.id,
-                group=group.name,
-                error=str(error),
-            )
-            self._kernel.spawn(self.name, self._watch_lost, member)
-            return
-        self._lost_ids.pop(member.id, None)
-        if report is not None and report.membership != member.membership:
-            log.info("report differs from the list", backend=member.id)
-
-    async def _watch_lost(self, member):
-        """Ask a member that is believed lost again until it answers or is unlisted."""
-        while member.id in self._lost_ids:
-            await self._kernel.clock.sleep(PROBE_INTERVAL_S * 2)
-            if member.id not in self._directory.backends_by_id:
-                break
-            try:
-                await self._engines.report(member)
-                break
-            except (ConnectionFailed, ResponseLost) as error:
-                log.debug("still no answer", backend=member.id, error=str(error))
-        self._lost_ids.pop(member.id, None)
-        log.info("member no longer believed lost", backend=member.id)
-
-    def _ask(self, backend, order):
-        """Send ``order`` unless the same one is under way or was sent just now."""
-        now = self._kernel.clock.time()
-        key = (backend.id, backend.born_ms, order)
-        if now - self._asked_at.get(key, -ORDER_RETRY_S) < ORDER_RETRY_S:
-            return
-        self._asked_at[key] = now
-        self._kernel.spawn(self.name, self._send, backend, order)
-
-    async def _send(self, backend, order):
-        if not self._lease.is_held() or self._lease.term != self._term:
-            return
-        term = self._term
-        try:
-            outcome = await self._engines.order(
-                backend, order, fence=term, orders_seen=None
-            )
-        except OrderRefused as error:
-            log.warning(
-                "order refused", backend=backend.id, order=repr(order), error=str(error)
-            )
-            return
-        log.info(
-            "order",
-            backend=backend.id,
-            order=type(order).__name__,
-            group=getattr(order, "group", None),
-            term=term,
-            outcome=type(outcome).__name__,
-            detail=getattr(outcome, "detail", None),
-        )
-        match outcome:
-            case OrderUnanswered():
-                if isinstance(order, JoinGroup):
-                    until = self._kernel.clock.time() + LATE_ORDER_S
-                    self._unsettled_until_by_id[backend.id] = until
-            case OrderConflict() | OrderDone() | OrderStarted():
-                self._unsettled_until_by_id.pop(backend.id, None)
+            for backend, model in self._staging.choose(spares, weights):
+                if self._admit_loads(service, 1):
+                    self._staging.note(backend, model)
+                    self._orders.ask(backend, StageWeights(model))
