--- /dev/null
+++ b/features/steps/connection_steps.py
@@ -0,0 +1,170 @@
+"""Steps on the pool of connections to backend servers, over loopback sockets."""
+
+import asyncio
+import socket
+import struct
+
+from behave import given, then, when
+
+from pimentogap.errors import ConnectionFailed, KeptConnectionClosed, ResponseLost
+from pimentogap.web import BackendPool
+
+LINGER_RESET = struct.pack("ii", 1, 0)
+PAUSE_S = 0.05
+
+
+class Taken:
+    """A receiver that takes the answer with one id."""
+
+    __slots__ = ("id", "body")
+
+    def __init__(self, attempt_id):
+        self.id = attempt_id
+        self.body = b""
+
+    def owns(self, status, headers):
+        return headers.get("Attempt") in (None, self.id)
+
+    async def headers_received(self, status, headers):
+        return None
+
+    async def data_received(self, chunk):
+        self.body += chunk
+
+
+def answer(attempt_id, body):
+    """Return the bytes of a whole answer."""
+    head = f"HTTP/1.1 200 OK\r\nAttempt: {attempt_id}\r\nContent-Length: {len(body)}"
+    return f"{head}\r\n\r\n{body}".encode()
+
+
+async def read_request(reader):
+    """Read one request without a body."""
+    return await reader.readuntil(b"\r\n\r\n")
+
+
+async def answer_twice(reader, writer):
+    """Answer the first request, and again before the second answer."""
+    await read_request(reader)
+    writer.write(answer("a1", "one"))
+    await read_request(reader)
+    writer.write(answer("a1", "again") + answer("a2", "two"))
+    await writer.drain()
+
+
+async def reset_unframed(reader, writer):
+    """Reset the connection within an answer that has no length."""
+    await read_request(reader)
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nunfra")
+    await writer.drain()
+    await asyncio.sleep(PAUSE_S)
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
+async def end_unframed(reader, writer):
+    """End an answer that has no length in order."""
+    await read_request(reader)
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nunframed")
+    await writer.drain()
+    writer.close()
+
+
+async def close_after_second(reader, writer):
+    """Close without an answer when the second request has arrived."""
+    await read_request(reader)
+    writer.write(answer("a1", "one"))
+    await read_request(reader)
+    writer.close()
+
+
+@given("a server that answers the first request twice")
+def given_twice(context):
+    context.serve = answer_twice
+
+
+@given("a server that resets an answer without a length")
+def given_reset(context):
+    context.serve = reset_unframed
+
+
+@given("a server that ends an answer without a length")
+def given_ended(context):
+    context.serve = end_unframed
+
+
+@given("a server that closes after the second request arrives")
+def given_closing(context):
+    context.serve = close_after_second
+
+
+@given("an address where nobody listens")
+def given_nobody(context):
+    context.serve = None
+
+
+@when("a request is sent")
+def when_sent(context):
+    context.results = asyncio.run(exchange(context.serve, ["a1"]))
+
+
+@when("two requests are sent on one connection")
+def when_two_sent(context):
+    context.results = asyncio.run(exchange(context.serve, ["a1", "a2"]))
+
+
+async def exchange(serve, ids):
+    """Send a request for each id to ``serve``; return the bodies or the errors."""
+    server = await asyncio.start_server(serve or answer_twice, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    if serve is None:
+        server.close()
+        await server.wait_closed()
+    pool = BackendPool()
+    results = []
+    for attempt_id in ids:
+        taken = Taken(attempt_id)
+        try:
+            await pool.exchange(
+                f"{host}:{port}",
+                "GET",
+                "/",
+                [("Host", "x")],
+                b"",
+                taken,
+                fresh=False,
+                connect_s=1.0,
+            )
+            results.append(taken.body)
+        except (ConnectionFailed, ResponseLost) as error:
+            results.append(error)
+    pool.close()
+    server.close()
+    return results
+
+
+@then("each request got its own answer")
+def then_own(context):
+    assert context.results == [b"one", b"two"], context.results
+
+
+@then("the answer is lost")
+def then_lost(context):
+    assert isinstance(context.results[0], ResponseLost), context.results
+
+
+@then('the answer is "{text}"')
+def then_answer(context, text):
+    assert context.results == [text.encode()], context.results
+
+
+@then("the second one is told to be lost on a kept connection")
+def then_kept(context):
+    assert context.results[0] == b"one", context.results
+    assert isinstance(context.results[1], KeptConnectionClosed), context.results
+
+
+@then("nothing was sent")
+def then_nothing(context):
+    assert isinstance(context.results[0], ConnectionFailed), context.results
