--- /dev/null
+++ b/features/steps/ingress_steps.py
@@ -0,0 +1,190 @@
+"""Steps on the front end for callers, over loopback sockets."""
+
+import asyncio
+import socket
+
+from behave import given, then, when
+
+from pimentogap.ingress import IngressService
+from pimentogap.kernel import Kernel
+from pimentogap.metrics import MetricService
+from pimentogap.platform import PlatformHeaders
+from pimentogap.settings import FrontSettings
+from pimentogap.types import CallerLimits, ServingConfiguration
+
+HOST = "127.0.0.1"
+PAUSE_S = 0.1
+HEAD = "POST /look/a%20b?x=1 HTTP/1.1\r\nHost: x\r\nX-Pimentogap-Attempt-Id: a1\r\n"
+REQUESTS_BY_NAME = {
+    "headers that are too large": HEAD + "Big: " + "x" * 3000 + "\r\n\r\n",
+    "a body that is too large": HEAD + "Content-Length: 2000\r\n\r\n" + "x" * 2000,
+    "two lengths that differ": HEAD
+    + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+    "a length and chunks": HEAD
+    + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "no host": "GET / HTTP/1.1\r\n\r\n",
+    "a chunked body": HEAD
+    + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+}
+
+
+class Stub:
+    """Stands for a service of the kernel that the front end asks."""
+
+    __slots__ = ("name", "current", "loaded", "in_flight", "requests", "hold", "ended")
+    requires = ()
+
+    def __init__(self, name):
+        self.name = name
+        self.current = ServingConfiguration(
+            version=1,
+            routes=(),
+            services_by_name={},
+            limits=CallerLimits(max_header_bytes=2000, max_body_bytes=1000),
+        )
+        self.loaded = True
+        self.in_flight = 0
+        self.requests = []
+        self.hold = asyncio.Event()
+        self.ended = []
+
+    async def start(self, kernel):
+        self.hold.set()
+
+    async def stop(self):
+        return None
+
+    async def serve(self, request):
+        """Answer once nothing holds the answer back."""
+        self.requests.append(request)
+        try:
+            await self.hold.wait()
+        except asyncio.CancelledError:
+            self.ended.append("cancelled")
+            raise
+        request.response.begin(200, [("Content-Length", "2")])
+        request.response.send(b"ok")
+        request.response.finish()
+
+
+class FrontEnd:
+    """An ingress on free ports, before a stub that answers."""
+
+    __slots__ = ("settings", "ingress", "forwarding", "kernel")
+
+    async def start(self):
+        """Open the sockets."""
+        ports = [free_port() for _ in range(3)]
+        self.settings = FrontSettings(
+            id="f",
+            availability_zone="z",
+            ip=HOST,
+            caller_address=f"{HOST}:{ports[0]}",
+            readiness_address=f"{HOST}:{ports[1]}",
+            store_address="",
+            metrics_port=ports[2],
+            grace_s=1.5,
+        )
+        self.kernel = Kernel()
+        self.forwarding = Stub("forwarding")
+        self.ingress = IngressService(self.settings, PlatformHeaders())
+        for service in (
+            self.forwarding,
+            Stub("serving_configuration"),
+            Stub("directory"),
+            MetricService(),
+            self.ingress,
+        ):
+            self.kernel.register(service)
+        await self.kernel.start()
+
+    async def connect(self):
+        """Return a caller's reader and writer."""
+        port = int(self.settings.caller_address.rpartition(":")[2])
+        return await asyncio.open_connection(HOST, port)
+
+
+def free_port():
+    """Return a port on which nobody listens now."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+@given("a front end with small limits")
+def given_front_end(context):
+    context.front_end = FrontEnd()
+
+
+@when("the front end gets {what}")
+def when_sends(context, what):
+    async def play():
+        await context.front_end.start()
+        reader, writer = await context.front_end.connect()
+        writer.write(REQUESTS_BY_NAME[what].encode())
+        if what == "a chunked body":
+            context.answer = await reader.readuntil(b"ok")
+        else:
+            async with asyncio.timeout(5):
+                context.answer = await reader.read()
+        writer.close()
+
+    asyncio.run(play())
+
+
+@when("a caller leaves before its answer")
+def when_leaves(context):
+    async def play():
+        await context.front_end.start()
+        context.front_end.forwarding.hold.clear()
+        _, writer = await context.front_end.connect()
+        writer.write(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(PAUSE_S)
+        writer.close()
+        await asyncio.sleep(PAUSE_S)
+        context.ended = list(context.front_end.forwarding.ended)
+
+    asyncio.run(play())
+
+
+@when("it stops while a caller waits")
+def when_stops(context):
+    async def play():
+        front_end = context.front_end
+        await front_end.start()
+        front_end.forwarding.hold.clear()
+        reader, writer = await front_end.connect()
+        writer.write(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(PAUSE_S)
+        stopping = asyncio.ensure_future(front_end.ingress.stop())
+        await asyncio.sleep(PAUSE_S)
+        context.ready = front_end.ingress.is_ready()
+        front_end.forwarding.hold.set()
+        context.answer = await reader.readuntil(b"ok")
+        writer.close()
+        await stopping
+
+    asyncio.run(play())
+
+
+@then("it gets {status:d} and the connection ends")
+def then_refused(context, status):
+    assert context.answer.startswith(f"HTTP/1.1 {status} ".encode()), context.answer
+    assert not context.front_end.forwarding.requests
+
+
+@then('the request has the path "{path}" and the body "{body}"')
+def then_request(context, path, body):
+    (request,) = context.front_end.forwarding.requests
+    assert (request.path, request.body) == (path, body.encode()), request.path
+
+
+@then("the work was cancelled")
+def then_cancelled(context):
+    assert context.ended == ["cancelled"], context.ended
+
+
+@then("it was not ready, and the answer asked the caller to close")
+def then_closing(context):
+    assert context.ready is False
+    assert b"Connection: close" in context.answer, context.answer
