Relay only while the store answers

Change: a relay passes nothing on when the store has not answered it for 1.4 s; its lease looks ask every second.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -54,3 +54,11 @@
     And version 3 of the configuration is written
     And 1.8 seconds pass
     Then the version in force is 3
+
+  Scenario: Daemons whose relay lost the store see a version in time
+    Given a platform with 1 fabric domains of 8 and 4 daemons
+    And its groups are open
+    When the relay is cut off from the store in silence
+    And version 2 of the configuration is written
+    And 1.9 seconds pass
+    Then the version in force at all others is 2
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -124,6 +124,33 @@
     context.paused.run(fleet.kill_daemon(leader))
 
 
+@when("the relay is cut off from the store in silence")
+def when_relay_cut(context):
+    fleet = context.paused.fleet
+
+    def give_lead_to_another():
+        # The leader reads the store itself; the relay must be another daemon.
+        leaders = fleet.leaders()
+        relays = set(fleet.kernels_by_name) - set(leaders)
+        context.cut = sorted(relays)[0]
+        value = {"zone": "z-a", "address": f"{context.cut}:27002"}
+        for kernel in fleet.kernels_by_name.values():
+            kernel.get("daemons").take([Stored(context.cut, 1, value)])
+
+    context.paused.read(give_lead_to_another)
+    document = {**configuration_document(1), "note": "makes every daemon ask again"}
+    fleet.store.put("config", "main", document)
+    context.paused.wait(1.0)
+    fleet.store.faults.silent_sources.add(context.cut)
+
+
+@then("the version in force at all others is {version:d}")
+def then_version_at_others(context, version):
+    for name, kernel in context.paused.fleet.kernels_by_name.items():
+        current = kernel.get("serving_configuration").current
+        assert name == context.cut or current.version == version, name
+
+
 @when("two daemons that do not lead take each other for the relay")
 def when_cycle(context):
     fleet = context.paused.fleet
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -23,6 +23,8 @@
 # How long a relay waits for a change; a silent relay is found after it.
 RELAY_WAIT_S = 1.0
 RELAY_TIMEOUT_S = 1.6
+# A relay that had no answer from the store for this long passes nothing on.
+VOUCH_S = 1.4
 # A relay that failed is not asked again for this long.
 RELAY_REST_S = 5.0
 RETRY_DELAY_S = 0.25
@@ -179,18 +181,21 @@
         following = self._following_by_collection.get(body.get("collection"))
         if following is None or following.lost_at is not None:
             return {}
-        if not following.reads_store:
+        if not following.reads_store or self._vouches_for_s() <= 0:
             return {}
         changes = following.changes
         if not changes.revision:
             return {}
         since = body.get("since")
         if since is not None and not changes.after(since):
+            wait_s = min(RELAY_WAIT_S, self._vouches_for_s())
             try:
-                async with self._kernel.clock.timeout(RELAY_WAIT_S):
+                async with self._kernel.clock.timeout(wait_s):
                     await following.changed.wait()
             except TimeoutError:
                 log.debug("nothing to relay", collection=following.collection)
+            if self._vouches_for_s() <= 0:
+                return {}
         return dump(self._since(changes, since))
 
     def _since(self, changes, since):
@@ -201,6 +206,17 @@
             )
         return Followed(False, known, (), changes.revision, self._regained_s())
 
+    def _vouches_for_s(self):
+        """Return how much longer this daemon may speak for the store.
+
+        A waiting watch does not show that the store is out of reach; the lease's
+        looks do, which a relay makes every second.
+        """
+        answered_at = self._store.last_answer_at
+        if answered_at is None:
+            return 0.0
+        return answered_at + VOUCH_S - self._kernel.clock.time()
+
     def _regained_s(self):
         return self._kernel.clock.time() - self._store.regained_at
 
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -104,6 +104,8 @@
         if writes and self._random.random() < faults.lose_answers:
             await self._lose(request)
         status, data = await self._carry_out(request)
+        if source in faults.silent_sources:
+            await asyncio.sleep(SILENCE_S)
         await self._answer(reply, status, data)
 
     async def _lose(self, request):
