--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -62,3 +62,16 @@
     And version 2 of the configuration is written
     And 1.9 seconds pass
     Then the version in force at all others is 2
+
+  Scenario: A watch that the store swallowed does not hold a version back
+    Given a platform with 1 fabric domains of 8 and 3 daemons
+    And its groups are open
+    When version 2 of the configuration is written
+    And 0.1 seconds pass
+    And the store is silent
+    And 4 seconds pass
+    And the store is up
+    And 1 seconds pass
+    And version 3 of the configuration is written
+    And 2 seconds pass
+    Then the version in force is 3
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -26,7 +26,7 @@
 from pimentogap.types import HttpRequest
 
 NOT_CARRIED_OUT_STATUSES = (429, 503)
-WATCH_GRACE_S = 2.0
+WATCH_GRACE_S = 0.6
 MS = 1000
 
 
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -19,7 +19,8 @@
 # Changes within this time of each other cost one call instead of several.
 BATCH_S = 0.3
 LEADER_BATCH_S = 0.15
-WATCH_WAIT_S = 20.0
+# A watch that the store took and forgot is found after it.
+WATCH_WAIT_S = 1.5
 # How long a relay waits for a change; a silent relay is found after it.
 RELAY_WAIT_S = 1.0
 RELAY_TIMEOUT_S = 1.6
