--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -37,6 +37,7 @@
         "_store",
         "_version",
         "_relay_ids",
+        "_candidate_ids",
         "_addresses_by_id",
     )
 
@@ -50,6 +51,7 @@
         self._store = None
         self._version = 0
         self._relay_ids = ()
+        self._candidate_ids = ()
         self._addresses_by_id = {}
 
     async def start(self, kernel):
@@ -70,6 +72,14 @@
         """Tell whether this daemon reads the store for others."""
         return not self._relay_ids or self._id in self._relay_ids
 
+    def is_candidate(self):
+        """Tell whether this daemon competes for leases.
+
+        In each availability zone that is one more than relay, so that a zone's
+        only relay has a successor.
+        """
+        return not self._candidate_ids or self._id in self._candidate_ids
+
     def relay_address(self):
         """Return where the relay that this daemon asks is reached.
 
@@ -123,7 +133,9 @@
             and stored.value.get("address")
         }
         ids = sorted(self._addresses_by_id)
-        relays = tuple(ids[: -(-len(ids) // DAEMONS_FOR_EACH_RELAY)])
+        relay_count = -(-len(ids) // DAEMONS_FOR_EACH_RELAY)
+        relays = tuple(ids[:relay_count])
+        self._candidate_ids = tuple(ids[: relay_count + 1])
         if relays != self._relay_ids:
             log.info("daemons counted", count=self.count, relays=relays)
         self._relay_ids = relays
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -96,8 +96,8 @@
 
     def _look_interval_s(self):
         """Return how long to wait; few daemons compete, the others stand by."""
-        relays = self._kernel.get("daemons").is_relay()
-        return LOOK_INTERVAL_S if relays else STAND_BY_INTERVAL_S
+        competes = self._kernel.get("daemons").is_candidate()
+        return LOOK_INTERVAL_S if competes else STAND_BY_INTERVAL_S
 
     async def _look(self):
         now = self._kernel.clock.time()
