Ask another relay when one fails

Ruled out: asking the next relay within the same read: two silent ones would take 3.2 s, and a version is to be in force after 2 s. Change: relays of the own zone come first, then those of others; a failed one rests for 5 s, the store is read once without waiting, and the next read asks the next relay.

--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -28,3 +28,10 @@
     Then every stream is whole, each event once
     And fewer than 1 model loads were started after the first request
     And no promise about groups was broken
+
+  Scenario: A daemon whose relay is lost asks another relay
+    When the relays of front-2 are front-0 and, in another zone, front-1
+    And 7 seconds pass
+    And front-0 is killed
+    And 10 versions of the configuration are written, one each 0.4 seconds
+    Then front-2 has the last version, and made no more than 6 watches meanwhile
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -188,6 +188,40 @@
     context.paused.read(lambda: (take(first, second), take(second, first)))
 
 
+@when("the relays of front-2 are front-0 and, in another zone, front-1")
+def when_relays(context):
+    value = {"zone": "z-b", "address": "front-1:27002"}
+    context.paused.read(
+        lambda: context.paused.fleet.store.put("daemons", "front-1", value)
+    )
+
+
+@when("front-0 is killed")
+def when_front_killed(context):
+    context.paused.run(context.paused.fleet.kill_daemon("front-0"))
+    store = context.paused.fleet.kernels_by_name["front-2"].get("store")
+    context.watches_before = store.calls_by_kind.get("Watch", 0)
+
+
+@when("{count:d} versions of the configuration are written, one each {pause:g} seconds")
+def when_versions(context, count, pause):
+    for version in range(2, 2 + count):
+        document = configuration_document(version)
+        context.paused.fleet.store.put("config", "main", document)
+        context.paused.wait(pause)
+    context.last_version = 1 + count
+
+
+@then("front-2 has the last version, and made no more than {most:d} watches meanwhile")
+def then_watches(context, most):
+    kernel = context.paused.fleet.kernels_by_name["front-2"]
+    watches = kernel.get("store").calls_by_kind["Watch"] - context.watches_before
+    context.paused.wait(1.0)
+    current = kernel.get("serving_configuration").current
+    assert current.version == context.last_version, current.version
+    assert watches <= most, watches
+
+
 @when("every daemon is killed and started again")
 def when_all_killed(context):
     fleet = context.paused.fleet
--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -38,7 +38,7 @@
         "_version",
         "_relay_ids",
         "_candidate_ids",
-        "_addresses_by_id",
+        "_relay_addresses",
     )
 
     def __init__(self, settings):
@@ -52,7 +52,7 @@
         self._version = 0
         self._relay_ids = ()
         self._candidate_ids = ()
-        self._addresses_by_id = {}
+        self._relay_addresses = ()
 
     async def start(self, kernel):
         """Begin to count."""
@@ -80,16 +80,13 @@
         """
         return not self._candidate_ids or self._id in self._candidate_ids
 
-    def relay_address(self):
-        """Return where the relay that this daemon asks is reached.
+    def relay_addresses(self):
+        """Return where relays are reached, in the order in which to ask them.
 
-        ``None`` is returned if it is to read the store itself.
+        Those of the daemon's own zone come first; none is returned if the daemon
+        is to read the store itself.
         """
-        if self.is_relay():
-            return None
-        number = int(hashlib.sha256(self._id.encode()).hexdigest(), 16)
-        id_ = self._relay_ids[number % len(self._relay_ids)]
-        return self._addresses_by_id[id_]
+        return () if self.is_relay() else self._relay_addresses
 
     async def _register(self):
         value = {"zone": self._zone, "address": self._address}
@@ -125,17 +122,38 @@
     def take(self, objects):
         """Take the daemons' ``objects`` as the store lists them."""
         self.count = max(1, len(objects))
-        self._addresses_by_id = {
-            stored.name: stored.value["address"]
-            for stored in objects
-            if isinstance(stored.value, dict)
-            and stored.value.get("zone") == self._zone
-            and stored.value.get("address")
-        }
-        ids = sorted(self._addresses_by_id)
-        relay_count = -(-len(ids) // DAEMONS_FOR_EACH_RELAY)
-        relays = tuple(ids[:relay_count])
-        self._candidate_ids = tuple(ids[: relay_count + 1])
+        addresses_by_zone = {}
+        for stored in objects:
+            value = stored.value
+            if isinstance(value, dict) and value.get("address"):
+                addresses = addresses_by_zone.setdefault(value.get("zone"), {})
+                addresses[stored.name] = value["address"]
+        own = addresses_by_zone.pop(self._zone, {})
+        relays = _first_ids(own)
         if relays != self._relay_ids:
             log.info("daemons counted", count=self.count, relays=relays)
         self._relay_ids = relays
+        self._candidate_ids = _first_ids(own, more=1)
+        others = [
+            addresses[id_]
+            for addresses in addresses_by_zone.values()
+            for id_ in _first_ids(addresses)
+        ]
+        self._relay_addresses = (
+            *self._shuffled([own[id_] for id_ in relays]),
+            *self._shuffled(others),
+        )
+
+    def _shuffled(self, addresses):
+        """Return ``addresses`` in an order of this daemon's own."""
+
+        def rank(address):
+            return hashlib.sha256(f"{self._id} {address}".encode()).digest()
+
+        return sorted(addresses, key=rank)
+
+
+def _first_ids(addresses_by_id, *, more=0):
+    """Return the ids of a zone's relays, and of ``more`` daemons that follow."""
+    ids = sorted(addresses_by_id)
+    return tuple(ids[: -(-len(ids) // DAEMONS_FOR_EACH_RELAY) + more])
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -44,7 +44,7 @@
         "changes",
         "changed",
         "lost_at",
-        "relay_rests_until",
+        "rests_until_by_relay",
         "reads_store",
     )
 
@@ -54,7 +54,7 @@
         self.changes = ChangeLog()
         self.changed = asyncio.Event()
         self.lost_at = None
-        self.relay_rests_until = 0.0
+        self.rests_until_by_relay = {}
         self.reads_store = False
 
 
@@ -62,7 +62,8 @@
     """Follows collections for the daemon's other services.
 
     A few daemons of each availability zone read the store, and the leader
-    besides; all others ask one of these, and the store when it fails. Revisions
+    besides; all others ask one of these. When it fails, they read the store once,
+    without another wait, and go on with the next one. Revisions
     are the store's wherever they come from, and nothing older than what was
     known is taken.
     """
@@ -120,28 +121,32 @@
         """Return the next `Followed`, from a relay if one is to be asked."""
         address = self._relay_for(following)
         following.reads_store = address is None
+        waits = following.lost_at is None
         if address is not None:
             try:
                 return await self._ask(address, following.collection, revision)
             except (PeerUnreachable, ResponseLost) as error:
-                log.info(
-                    "relay left",
-                    relay=address,
-                    collection=following.collection,
-                    rev=revision,
-                    error=str(error),
-                )
-                rests_until = self._kernel.clock.time() + RELAY_REST_S
-                following.relay_rests_until = rests_until
-                following.reads_store = True
-        return await self._read_store(following, revision)
-
-    async def _read_store(self, following, revision):
-        collection = following.collection
+                self._leave_relay(following, address, revision, error)
+                waits = False
+        wait_s = WATCH_WAIT_S if waits else CATCH_UP_WAIT_S
+        return await self._read_store(following.collection, revision, wait_s)
+
+    def _leave_relay(self, following, address, revision, error):
+        log.info(
+            "relay left",
+            relay=address,
+            collection=following.collection,
+            rev=revision,
+            error=str(error),
+        )
+        rests_until = self._kernel.clock.time() + RELAY_REST_S
+        following.rests_until_by_relay[address] = rests_until
+        following.reads_store = True
+
+    async def _read_store(self, collection, revision, wait_s):
         if revision is None:
             objects, revision = await self._store.list(collection)
             return Followed(True, (), tuple(objects), revision, self._regained_s())
-        wait_s = WATCH_WAIT_S if following.lost_at is None else CATCH_UP_WAIT_S
         page = await self._store.watch(collection, revision, wait_s)
         return Followed(False, page.items, (), page.revision, self._regained_s())
 
@@ -232,6 +237,11 @@
 
     def _relay_for(self, following):
         """Return the address of the relay to ask, or ``None`` for the store."""
-        if self._leads() or self._kernel.clock.time() < following.relay_rests_until:
+        if self._leads():
             return None
-        return self._daemons.relay_address()
+        now = self._kernel.clock.time()
+        resting = following.rests_until_by_relay
+        for address in self._daemons.relay_addresses():
+            if now >= resting.get(address, 0.0):
+                return address
+        return None
