Soak real daemons under random faults

Cause: nothing ran the daemons as processes with faults from outside them. Change: `python -m soak` starts front daemons, an emulated platform on sockets and links between them that delay, cut, silence and reset; daemons get SIGTERM, SIGKILL, SIGSTOP and SIGHUP; the store and the replicas misbehave. Answers, runs, groups, versions, stops, drains, time-outs and logs are judged while it runs. A quarter of the seeds have planned work only, where the strictest checks apply. One short seed is part of `make test`. Clocks of processes cannot be set from outside without tools that we do not use.

--- a/features/run.py
+++ b/features/run.py
@@ -1,4 +1,4 @@
-"""Runs every scenario and the fixed histories, and counts them in one line."""
+"""Runs every scenario, the fixed histories and a short soak, and counts them."""
 
 import json
 import os
@@ -12,6 +12,7 @@
 KNOWN_RED = Path("KNOWN-RED.txt")
 HISTORIES_BY_SUITE = {"tickets": 40, "actions": 60, "groups": 20, "front": 30}
 SEED = 1
+SOAK_SEED, SOAK_SECONDS, SOAK_DAEMONS, SOAK_CALLERS = 1, 10.0, 3, 6
 
 
 def run_scenarios():
@@ -49,6 +50,17 @@
     return passed, failed
 
 
+def run_soak():
+    """Play one short soak of real processes; return what passed and what failed."""
+    from soak import play_seed
+
+    ok = play_seed(
+        SOAK_SEED, seconds=SOAK_SECONDS, daemons=SOAK_DAEMONS, callers=SOAK_CALLERS
+    )
+    name = f"soak seed {SOAK_SEED}"
+    return ([name], []) if ok else ([], [name])
+
+
 def known_red():
     """Return the names of tests that are listed as failing for an open issue."""
     if not KNOWN_RED.exists():
@@ -60,9 +72,10 @@
 def main():
     """Run everything, print the count and return the exit code."""
     passed, failed = run_scenarios()
-    more_passed, more_failed = run_histories()
-    passed += more_passed
-    failed += more_failed
+    for run in (run_histories, run_soak):
+        more_passed, more_failed = run()
+        passed += more_passed
+        failed += more_failed
     known = known_red()
     expected = [name for name in failed if name in known]
     unexpected = [name for name in failed if name not in known]
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,62 @@
+"""The soak's command line."""
+
+import argparse
+import sys
+
+from soak._kept import CAUSES_BY_SEED
+from soak._play import FIRST_PORT, play_seed
+
+EPILOG = """\
+examples:
+  python -m soak --seeds 50                 the kept seeds, then seeds 1 to 50
+  python -m soak --seed 7 --keep run/soak   one seed; logs of daemons in that folder
+
+exit codes:
+  0  every promise was kept
+  1  at least one was not; each problem is printed with its seed
+"""
+
+
+def main(arguments=None):
+    """Play the seeds and return the exit code."""
+    options = _parser().parse_args(arguments)
+    first = options.seed
+    seeds = [first] if options.seeds is None else range(first, first + options.seeds)
+    kept = () if options.seeds is None else CAUSES_BY_SEED
+    failed = [seed for seed in (*kept, *seeds) if not _play(seed, options)]
+    print(f"{len(kept) + len(seeds) - len(failed)} seeds passed, {len(failed)} failed")
+    for seed in failed:
+        print(f"failed: python -m soak --seed {seed} --seconds {options.seconds:g}")
+    return 1 if failed else 0
+
+
+def _play(seed, options):
+    return play_seed(
+        seed,
+        seconds=options.seconds,
+        daemons=options.daemons,
+        callers=options.callers,
+        first_port=options.first_port,
+        keep=options.keep,
+    )
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="python -m soak",
+        description="Run daemons as processes under random faults, and judge them.",
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, help="how many; one alone by default")
+    parser.add_argument("--seconds", type=float, default=25.0, help="of faults")
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=10)
+    parser.add_argument("--first-port", type=int, default=FIRST_PORT)
+    parser.add_argument("--keep", metavar="FOLDER", help="keep the daemons' logs there")
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/_kept.py
@@ -0,0 +1,3 @@
+"""Seeds that failed once, each with its cause; every long soak plays them first."""
+
+CAUSES_BY_SEED = {}
--- a/standins/emulator/_records.py
+++ b/standins/emulator/_records.py
@@ -16,6 +16,7 @@
 class Records:
     """Runs of requests, loads of weights, and every breach of a promise about groups.
 
+    ``ready`` holds who was ever ready, with the group, its epoch and its members;
     ``loading`` counts the loads under way, ``most_loading`` the most at any time.
     """
 
@@ -24,6 +25,7 @@
         "partial",
         "two",
         "stale_fences",
+        "ready",
         "loads",
         "loading",
         "most_loading",
@@ -34,6 +36,7 @@
         self.partial = []
         self.two = []
         self.stale_fences = 0
+        self.ready = set()
         self.loads = []
         self.loading = 0
         self.most_loading = 0
