Log the send that a caller did not wait for; drop an unused order field

Change: a send that is abandoned is listed with its time. The expected count of orders, which was always empty, and the count in a list entry go.

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -40,3 +40,10 @@
     And 5 look-ups are requested
     And 2 seconds pass
     Then every look-up succeeds
+
+  Scenario: The log tells which send a caller did not wait for
+    Given the log is read
+    When 1 streams of model large are requested
+    And 0.3 seconds pass
+    And the callers leave
+    Then the line "request ended" of the first stream has a send that was "abandoned"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,5 +1,6 @@
 """Steps on front daemons before an emulated platform."""
 
+import logbook
 import yaml
 from behave import given, then, when
 
@@ -289,6 +290,35 @@
     context.paused.fleet.store.put("config", "main", {"version": 9, "routes": 7})
 
 
+@given("the log is read")
+def given_log(context):
+    context.log = logbook.TestHandler(level="INFO")
+    context.log.push_application()
+    context.add_cleanup(context.log.pop_application)
+
+
+@when("the callers leave")
+def when_leave(context):
+    def leave():
+        for stream in context.streams:
+            stream.task.cancel()
+
+    context.paused.read(leave)
+    context.paused.wait(0.1)
+
+
+@then('the line "{event}" of the first stream has a send that was "{what}"')
+def then_logged(context, event, what):
+    id_ = context.streams[0].id
+    (line,) = [
+        record.kwargs
+        for record in context.log.records
+        if record.msg == event and record.kwargs.get("id") == id_
+    ]
+    ((_, outcome),) = line["sends"]
+    assert outcome.startswith(what), line
+
+
 @when("all replicas of the plain service lose {share:g} of their answers")
 def when_answers_lost(context, share):
     for replica in context.paused.fleet.plain_by_id.values():
--- a/pimentogap/formation/_orders.py
+++ b/pimentogap/formation/_orders.py
@@ -45,9 +45,7 @@
         if not lease.is_held() or lease.term != self._term:
             return
         try:
-            outcome = await self._engines.order(
-                backend, order, fence=self._term, orders_seen=None
-            )
+            outcome = await self._engines.order(backend, order, fence=self._term)
         except OrderRefused as error:
             log.warning(
                 "order refused", backend=backend.id, order=repr(order), error=str(error)
--- a/pimentogap/forwarding/_outcomes.py
+++ b/pimentogap/forwarding/_outcomes.py
@@ -52,3 +52,10 @@
 @dataclass(frozen=True, slots=True)
 class TimedOut:
     """The caller's deadline or the route's timeout has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """The caller left ``after_s`` seconds into the send."""
+
+    after_s: float
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -7,6 +7,7 @@
 from pimentogap.errors import ConnectionFailed, ResponseLost
 from pimentogap.forwarding._events import EventCutter
 from pimentogap.forwarding._outcomes import (
+    Abandoned,
     Delivered,
     Failure,
     Lost,
@@ -210,10 +211,15 @@
             self._exchange(request, admitted, sends, backend, deadline, relay)
         )
         sends.may_have_run += 1
+        began_at = self._kernel.clock.time()
         try:
             outcome = await self._watch(
                 request, admitted, sends, load, relay, exchange, deadline
             )
+        except asyncio.CancelledError:
+            after_s = self._kernel.clock.time() - began_at
+            sends.tried.append((backend.id, Abandoned(after_s)))
+            raise
         finally:
             load.in_flight -= 1
             if not exchange.done():
@@ -428,6 +434,8 @@
             return f"failure {status}"
         case Stalled(silent_s):
             return f"stalled {silent_s:.2f}s"
+        case Abandoned(after_s):
+            return f"abandoned {after_s:.2f}s"
     return type(outcome).__name__.lower()
 
 
--- a/pimentogap/platform/_backends.py
+++ b/pimentogap/platform/_backends.py
@@ -29,7 +29,6 @@
         state=state,
         slots=_whole(data.get("slots"), 1),
         born_ms=_whole(data.get("born"), 0),
-        orders=_whole(data.get("seq"), 0),
         domain=data.get("domain") if isinstance(data.get("domain"), str) else "",
         models=_names(data.get("models")),
         staged=_names(data.get("staged")),
--- a/pimentogap/platform/_engines.py
+++ b/pimentogap/platform/_engines.py
@@ -31,19 +31,15 @@
         """Bind to ``client``, a `pimentogap.web.HttpClient`."""
         self._client = client
 
-    async def order(self, backend, order, *, fence, orders_seen):
+    async def order(self, backend, order, *, fence):
         """Send ``order`` to ``backend`` and return what became of it.
 
         :param fence: the fencing token of the sender's lease.
-        :param orders_seen: the order is void if the engine has accepted a
-            different number of orders; ``None`` leaves that unchecked.
         :return: `OrderStarted`, `OrderDone`, `OrderConflict` or `OrderUnanswered`.
         :raises OrderRefused: if the engine has seen a newer fencing token.
         """
         body = _encode(order)
         body["fenceToken"] = fence
-        if orders_seen is not None:
-            body["expectedRev"] = orders_seen
         headers = {
             "Content-Type": "application/json",
             "X-Pimentogap-Expect-Replica": backend.id,
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -136,8 +136,7 @@
 class Backend:
     """A backend server as the platform's list shows it.
 
-    ``born_ms`` tells one life under an id from the next; ``orders`` counts the
-    orders that it accepted in this life.
+    ``born_ms`` tells one life under an id from the next.
     """
 
     id: str
@@ -147,7 +146,6 @@
     state: BackendState
     slots: int = 1
     born_ms: int = 0
-    orders: int = 0
     domain: str = ""
     models: tuple = ()
     staged: tuple = ()
