Take no request that a stop would cut off

A stream was taken 6.57 s after SIGTERM, from a connection that the platform still sent since most daemons of the zone were stopping, and was cut at 7.3 s. A request whose bytes had just been read was passed on after its idle connection had been closed by the stop, 2 ms before the process ended. Ruled out: closing the listener sooner (callers would lose the connection instead of getting a refusal). The soak's daemons now share one address of the store, without which they did not take each other for one fleet and never relayed.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -27,3 +27,8 @@
     Given a front end with small limits
     When it stops while a caller waits
     Then it was not ready, and the answer asked the caller to close
+
+  Scenario: A request whose connection was just closed does not run
+    Given a front end with small limits
+    When a connection is closed as its request has just been read
+    Then the request was not passed on
--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -47,3 +47,16 @@
     And 0.3 seconds pass
     And the callers leave
     Then the line "request ended" of the first stream has a send that was "abandoned"
+
+  Scenario Outline: A daemon that stops takes late requests only if they can end
+    Given front-0 was told to stop <ago> seconds ago, with 7.3 seconds in all
+    When front-0 gets a <what>
+    And 3 seconds pass
+    Then the answer is <status>
+
+    Examples:
+      | what    | ago | status |
+      | stream  | 2.5 | 200    |
+      | stream  | 3.0 | 503    |
+      | look-up | 3.0 | 200    |
+      | look-up | 6.2 | 503    |
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -54,6 +54,9 @@
     async def stop(self):
         return None
 
+    def end_by(self, ends_at, *, strict_at):
+        """Do nothing; answers come when nothing holds them back."""
+
     async def serve(self, request):
         """Answer once nothing holds the answer back."""
         self.requests.append(request)
@@ -179,6 +182,30 @@
     assert (request.path, request.body) == (path, body.encode()), request.path
 
 
+@when("a connection is closed as its request has just been read")
+def when_closed(context):
+    async def play():
+        front_end = context.front_end
+        await front_end.start()
+        _, writer = await front_end.connect()
+        await asyncio.sleep(PAUSE_S)
+        writer.write(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        (stream,) = front_end.ingress._idle_streams
+        # Takes the bytes into the stream's buffer; its reader runs later.
+        while not stream._read_buffer:
+            stream._read_to_buffer()
+        stream.close()
+        await asyncio.sleep(PAUSE_S)
+        writer.close()
+
+    asyncio.run(play())
+
+
+@then("the request was not passed on")
+def then_not_passed(context):
+    assert not context.front_end.forwarding.requests
+
+
 @then("the work was cancelled")
 def then_cancelled(context):
     assert context.ended == ["cancelled"], context.ended
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,5 +1,7 @@
 """Steps on front daemons before an emulated platform."""
 
+import asyncio
+
 import logbook
 import yaml
 from behave import given, then, when
@@ -11,6 +13,7 @@
     plan_groups,
     target_counts,
 )
+from pimentogap.ingress import LATE_REQUEST_S
 from pimentogap.platform import (
     decode_backend,
     decode_configuration,
@@ -290,6 +293,29 @@
     context.paused.fleet.store.put("config", "main", {"version": 9, "routes": 7})
 
 
+@given("front-0 was told to stop {ago:g} seconds ago, with {span:g} seconds in all")
+def given_stopping(context, ago, span):
+    forwarding = context.paused.fleet.kernels_by_name["front-0"].get("forwarding")
+
+    def end():
+        began_at = asyncio.get_running_loop().time() - ago
+        forwarding.end_by(began_at + span, strict_at=began_at + LATE_REQUEST_S)
+
+    context.paused.read(end)
+
+
+@when("front-0 gets a {what}")
+def when_asked(context, what):
+    method, path = {"stream": ("POST", "/draft/x"), "look-up": ("GET", "/look/x")}[what]
+    context.request = begin(context, method, path)
+
+
+@then("the answer is {status:d}")
+def then_answer(context, status):
+    assert context.request.response.status == status, context.request.response.status
+    assert context.request.response.ended
+
+
 @given("the log is read")
 def given_log(context):
     context.log = logbook.TestHandler(level="INFO")
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -1,6 +1,7 @@
 """The service that carries each request from its caller to a backend server."""
 
 import asyncio
+import math
 
 from logbook import Logger
 
@@ -52,6 +53,8 @@
 EXTRA_SENDS = 2
 RETRY_AFTER_MISSING_S = 0.5
 RETRY_AFTER_FULL_S = 0.6
+# Other daemons can take the request at once.
+RETRY_AFTER_STOPPING_S = 0.05
 PROMISING_STATUSES = (408, 421, 429, 503)
 
 
@@ -88,6 +91,8 @@
         "_directory",
         "_metrics",
         "_budget",
+        "_ends_at",
+        "_strict_at",
         "in_flight",
         "served",
     )
@@ -109,6 +114,8 @@
             window_s=settings.retry_window_s,
             slack=settings.retry_slack,
         )
+        self._ends_at = math.inf
+        self._strict_at = math.inf
         self.in_flight = 0
         self.served = 0
 
@@ -124,6 +131,15 @@
         """Close idle connections."""
         self._pool.close()
 
+    def end_by(self, ends_at, *, strict_at):
+        """Prepare for an end of the daemon at ``ends_at``.
+
+        :param strict_at: requests that come later are refused if they may last
+            beyond the end.
+        """
+        self._ends_at = ends_at
+        self._strict_at = strict_at
+
     async def serve(self, request):
         """Answer ``request``, a `CallerRequest`."""
         self.in_flight += 1
@@ -133,11 +149,21 @@
                 case Rejected(reason):
                     status = STATUS_BY_REASON[reason]
                     self._refuse(request, None, status, reason.value)
+                case Admitted() as admitted if self._may_outlast(admitted.route):
+                    after_s = RETRY_AFTER_STOPPING_S
+                    self._refuse(
+                        request, admitted, 503, "stopping", retry_after_s=after_s
+                    )
                 case Admitted() as admitted:
                     await self._serve_admitted(request, admitted)
         finally:
             self.in_flight -= 1
 
+    def _may_outlast(self, route):
+        """Tell whether a new request of ``route`` may last beyond the end."""
+        now = self._kernel.clock.time()
+        return now >= self._strict_at and now + route.timeout_s > self._ends_at
+
     async def _serve_admitted(self, request, admitted):
         self.served += 1
         route = admitted.route
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -125,6 +125,10 @@
         """Answer the request, which is whole now."""
         if self._refused:
             return
+        if self.stream.closed():
+            # Its bytes were read just before; it must not run for nobody.
+            log.info("request dropped", id=self._service.codec.id_of(self._headers))
+            return
         self._task = asyncio.ensure_future(self._answer())
 
     def on_connection_close(self):
--- a/pimentogap/ingress/_service.py
+++ b/pimentogap/ingress/_service.py
@@ -16,6 +16,8 @@
 BACKLOG = 1024
 # The platform takes a daemon out after two misses at one question a second.
 ROTATION_S = 3.2
+# Requests that come later than this after SIGTERM must end in time.
+LATE_REQUEST_S = 2.8
 # Kept of the grace period for the end of the process itself.
 EXIT_MARGIN_S = 0.7
 CHECK_INTERVAL_S = 0.1
@@ -128,19 +130,25 @@
         self.closing = True
         clock = self._kernel.clock
         began = clock.time()
-        log.notice("draining", in_flight=self.forwarding.in_flight)
         last = began + self._settings.grace_s - EXIT_MARGIN_S
-        while clock.time() < last:
-            if clock.time() >= began + ROTATION_S:
-                self._close_idle()
-                if not self._exchanges:
-                    break
-            await clock.sleep(CHECK_INTERVAL_S)
-        log.notice("drained", left=len(self._exchanges))
+        self.forwarding.end_by(last, strict_at=began + LATE_REQUEST_S)
+        log.notice("draining", in_flight=self.forwarding.in_flight)
+        await clock.sleep(min(ROTATION_S, last - began))
+        await self._wait_for_exchanges(last)
         self._server.stop()
+        # What was accepted in the meantime is served as well.
+        await self._wait_for_exchanges(last)
+        log.notice("drained", left=len(self._exchanges))
         self._readiness.stop()
         self._metrics_server.stop()
 
+    async def _wait_for_exchanges(self, last):
+        """Close idle connections until no request is left, or it is ``last``."""
+        self._close_idle()
+        while self._exchanges and self._kernel.clock.time() < last:
+            await self._kernel.clock.sleep(CHECK_INTERVAL_S)
+            self._close_idle()
+
     def now(self):
         """Return the time of the runtime's clock."""
         return self._kernel.clock.time()
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -51,13 +51,17 @@
         """Return the `RequestNeeds` that a request's ``headers`` state."""
         deadline_ms = _number(headers.get(DEADLINE))
         return RequestNeeds(
-            attempt_id=headers.get(ATTEMPT_ID, ""),
+            attempt_id=self.id_of(headers),
             deadline_s=None if deadline_ms is None else deadline_ms / MS,
             key=_key(headers.get(AUTHORIZATION, "")),
             model=headers.get(MODEL, ""),
             last_event_id=_whole(headers.get(LAST_EVENT)),
         )
 
+    def id_of(self, headers):
+        """Return the id of the request that has these ``headers``."""
+        return headers.get(ATTEMPT_ID, "")
+
     def forwarded(self, headers):
         """Return the pairs of a request's ``headers`` that every send carries."""
         dropped = DROPPED_FROM_REQUEST
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -257,10 +257,10 @@
             case CutLink(kind, index, towards, back, for_s):
                 await self._harm(kind, index, Cut(towards, back), for_s)
             case ResetLink(kind, index):
-                self._links_by_kind[kind][index].reset()
+                self._link(kind, index).reset()
                 self._link_span(kind, index).end()
             case SilenceLink(kind, index):
-                self._links_by_kind[kind][index].silence()
+                self._link(kind, index).silence()
                 self._link_span(kind, index).end()
             case StopDaemon(index):
                 await self._stop(self._daemons[index])
@@ -283,13 +283,20 @@
                     self._platform.configure()
                     await asyncio.sleep(0.3)
 
+    def _link(self, kind, index):
+        links = self._links_by_kind[kind]
+        return links[index % len(links)]
+
     def _link_span(self, kind, index):
-        if kind == "replica":
-            return self.span("replica link", scope=Scope.REPLICA)
+        match kind:
+            case "replica":
+                return self.span("replica link", scope=Scope.REPLICA)
+            case "store":
+                return self.span("store link")
         return self.span(f"{kind} link", self._daemons[index])
 
     async def _harm(self, kind, index, condition, for_s):
-        link = self._links_by_kind[kind][index]
+        link = self._link(kind, index)
         span = self._link_span(kind, index)
         link.set(condition)
         await asyncio.sleep(for_s)
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -175,7 +175,7 @@
 
     def _relay(self, replica):
         """Put a link between a replica's listed address and the replica."""
-        link = Link(_pair(replica.address), _pair(self._serve(replica)))
+        link = Link(pair(replica.address), pair(self._serve(replica)))
         self.links_by_replica[replica.id] = link
 
     def _serve(self, handler):
@@ -190,6 +190,7 @@
         return f"{self._host}:{self._port}"
 
 
-def _pair(address):
+def pair(address):
+    """Return the host and the port of ``address``."""
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -19,7 +19,7 @@
 from soak._daemons import DaemonProcess
 from soak._faults import Injector, schedule
 from soak._links import Link
-from soak._platform import ZONES, Platform
+from soak._platform import ZONES, Platform, pair
 
 START_LIMIT_S = 30.0
 HEAL_LIMIT_S = 40.0
@@ -29,6 +29,7 @@
 # A later wake-up than this means that the machine itself was held up.
 LAG_S = 0.25
 CALLER_PAUSE_S = 0.15
+STORE_LINK_PORT = 190
 PORTS_FOR_EACH_DAEMON = 10
 
 
@@ -55,9 +56,11 @@
         self.platform = Platform(host, first_port, seed=seed)
         self.problems = []
         self._tasks = []
-        callers, stores = [], []
+        callers = []
         self.daemons = []
-        store = self.platform.store_address.rpartition(":")
+        # Daemons take each other for one fleet by the store's address alone.
+        store_address = (host, first_port + STORE_LINK_PORT)
+        store = Link(store_address, pair(self.platform.store_address))
         for index in range(daemons):
             port = first_port + 200 + PORTS_FOR_EACH_DAEMON * index
             ip = host.rpartition(".")[0] + f".{10 + index}"
@@ -67,14 +70,13 @@
                 folder,
                 zone=ZONES[index % len(ZONES)],
                 first_port=port,
-                store=f"{host}:{port + 6}",
+                store=f"{host}:{store_address[1]}",
             )
             self.daemons.append(daemon)
             callers.append(Link((host, port + 5), daemon.caller_address))
-            stores.append(Link((host, port + 6), (store[0], int(store[2]))))
         self._links = {
             "callers": callers,
-            "store": stores,
+            "store": [store],
             "replica": list(self.platform.links_by_replica.values()),
         }
         names = [daemon.name for daemon in self.daemons]
