--- /dev/null
+++ b/features/steps/planning_steps.py
@@ -0,0 +1,77 @@
+"""Steps on the plan of model groups, without a fleet."""
+
+from behave import given, then, when
+
+from pimentogap.formation import (
+    Demand,
+    configured_wants,
+    plan_groups,
+    target_counts,
+)
+from pimentogap.platform import decode_configuration
+from pimentogap.types import Backend, BackendState
+from standins.emulator import configuration_document
+
+
+@given(
+    "an engine with models of {size_large:d} and {size_small:d} members"
+    " and shares of {share_large:g} and {share_small:g}"
+)
+def given_engine(context, size_large, size_small, share_large, share_small):
+    models = [
+        {"name": "large", "size": size_large, "share": share_large, "loadS": 16.0},
+        {"name": "small", "size": size_small, "share": share_small, "loadS": 12.0},
+    ]
+    service = {"name": "llm", "engine": {"models": models}}
+    document = configuration_document(1, services=[service])
+    context.engine = decode_configuration(document).services_by_name["llm"].engine
+    context.demand = Demand()
+
+
+@given("{large:g} and {small:g} busy groups were measured")
+def given_busy(context, large, small):
+    context.demand.note({"large": large, "small": small}, 0.0)
+
+
+@then(
+    "{n:d} domains of {size:d} have room for {large:d} large and {small:d} small groups"
+)
+def then_targets(context, n, size, large, small):
+    sizes = {f"d{index}": size for index in range(n)}
+    wants = configured_wants(context.engine)
+    counts = target_counts(context.engine, sizes, wants, spares=1)
+    assert counts == {"large": large, "small": small}, counts
+
+
+@when(
+    "{large:d} large and {small:d} small groups exist,"
+    " {target:d} of each are the target, and {free:d} of a domain are free"
+)
+def when_planned(context, large, small, target, free):
+    backends = [
+        Backend(
+            id=f"i-{index}",
+            service="llm",
+            address=f"i-{index}:80",
+            availability_zone="z-a",
+            state=BackendState.READY,
+            domain="d0",
+        )
+        for index in range(free)
+    ]
+    context.plans = plan_groups(
+        context.engine,
+        backends,
+        {"large": large, "small": small},
+        {},
+        {"large": target, "small": target},
+        context.demand.wants(context.engine),
+        spares=1,
+    )
+
+
+@then('the plan is "{plan}"')
+@then('the plan is ""')
+def then_plan(context, plan=""):
+    names = " ".join(item.model.name for item in context.plans)
+    assert names == plan, names
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,28 +3,13 @@
 import asyncio
 
 import logbook
-import yaml
 from behave import given, then, when
 
-from pimentogap.errors import InvalidDocument
-from pimentogap.formation import (
-    Demand,
-    configured_wants,
-    plan_groups,
-    target_counts,
-)
 from pimentogap.ingress import LATE_REQUEST_S
-from pimentogap.platform import (
-    decode_backend,
-    decode_configuration,
-    load_platform_settings,
-)
 from pimentogap.store import Stored
-from pimentogap.types import Backend, BackendState
 from standins.emulator import (
     EmulatedFleet,
     configuration_document,
-    settings_document,
 )
 
 FORMED_WITHIN_S = 6.0
@@ -480,70 +465,6 @@
             assert run.workspace == "w1", run
 
 
-@given(
-    "an engine with models of {size_large:d} and {size_small:d} members"
-    " and shares of {share_large:g} and {share_small:g}"
-)
-def given_engine(context, size_large, size_small, share_large, share_small):
-    models = [
-        {"name": "large", "size": size_large, "share": share_large, "loadS": 16.0},
-        {"name": "small", "size": size_small, "share": share_small, "loadS": 12.0},
-    ]
-    service = {"name": "llm", "engine": {"models": models}}
-    document = configuration_document(1, services=[service])
-    context.engine = decode_configuration(document).services_by_name["llm"].engine
-    context.demand = Demand()
-
-
-@given("{large:g} and {small:g} busy groups were measured")
-def given_busy(context, large, small):
-    context.demand.note({"large": large, "small": small}, 0.0)
-
-
-@then(
-    "{n:d} domains of {size:d} have room for {large:d} large and {small:d} small groups"
-)
-def then_targets(context, n, size, large, small):
-    sizes = {f"d{index}": size for index in range(n)}
-    wants = configured_wants(context.engine)
-    counts = target_counts(context.engine, sizes, wants, spares=1)
-    assert counts == {"large": large, "small": small}, counts
-
-
-@when(
-    "{large:d} large and {small:d} small groups exist,"
-    " {target:d} of each are the target, and {free:d} of a domain are free"
-)
-def when_planned(context, large, small, target, free):
-    backends = [
-        Backend(
-            id=f"i-{index}",
-            service="llm",
-            address=f"i-{index}:80",
-            availability_zone="z-a",
-            state=BackendState.READY,
-            domain="d0",
-        )
-        for index in range(free)
-    ]
-    context.plans = plan_groups(
-        context.engine,
-        backends,
-        {"large": large, "small": small},
-        {},
-        {"large": target, "small": target},
-        context.demand.wants(context.engine),
-        spares=1,
-    )
-
-
-@then('the plan is "{plan}"')
-@then('the plan is ""')
-def then_plan(context, plan=""):
-    names = " ".join(item.model.name for item in context.plans)
-    assert names == plan, names
-
-
 @when("{count:d} empty replicas are added to each of {domains:d} fabric domains")
 def when_added(context, count, domains):
     fleet = context.paused.fleet
@@ -562,29 +483,6 @@
     assert most <= count, most
 
 
-@then("the entry {entry} names no backend server")
-def then_no_backend(context, entry):
-    assert decode_backend("i-1", yaml.safe_load(entry)) is None
-
-
-@then("settings without {field} are refused, and the problem names it")
-def then_settings_refused(context, field):
-    document = settings_document("front-0")
-    del document[field]
-    try:
-        load_platform_settings(yaml.safe_dump(document))
-    except InvalidDocument as error:
-        assert field in str(error), error
-    else:
-        raise AssertionError("the settings were accepted")
-
-
-@then("settings with an unknown field are accepted")
-def then_settings_accepted(context):
-    document = {**settings_document("front-0"), "new": {"field": 1}}
-    assert load_platform_settings(yaml.safe_dump(document)).id == "front-0"
-
-
 def begin(context, method, path, **options):
     """Send a request on the paused clock."""
 
