Show open and busy groups, and split what grew

Change: the leader shows both as gauges and hides them when it leads no more; what is noted of sends, and the measuring of demand, have modules of their own. No decision changed.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -41,6 +41,10 @@
     Then there are at least 3 open groups of model large
     And no promise about groups was broken
 
+  Scenario: The leader alone shows how many groups are open
+    Then the metrics of the leader show 3 open groups of model large
+    And no other daemon shows open groups
+
   Scenario: A lost leader is replaced within 4 seconds
     When the leader is killed
     And 4 seconds pass
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -359,6 +359,24 @@
         replica.order_delays_s["leave"] = seconds
 
 
+@then("the metrics of the leader show {count:d} open groups of model {model}")
+def then_shown(context, count, model):
+    fleet = context.paused.fleet
+    (leader,) = context.paused.read(fleet.leaders)
+    text = fleet.kernels_by_name[leader].get("metrics").text()
+    labels = f'service="llm",workspace="-",model="{model}"'
+    assert f"pimentogap_open_groups{{{labels}}} {count}\n" in text, text
+
+
+@then("no other daemon shows open groups")
+def then_not_shown(context):
+    fleet = context.paused.fleet
+    leaders = context.paused.read(fleet.leaders)
+    for name, kernel in fleet.kernels_by_name.items():
+        shown = "open_groups" in kernel.get("metrics").text()
+        assert shown is (name in leaders), name
+
+
 @then("one daemon leads")
 def then_one_leads(context):
     leaders = context.paused.read(context.paused.fleet.leaders)
--- a/pimentogap/formation/_demand.py
+++ b/pimentogap/formation/_demand.py
@@ -1,6 +1,11 @@
 """How much of the work each model has, by the loads that its heads report."""
 
 from pimentogap.formation._plan import configured_wants
+from pimentogap.metrics import Series
+
+# Gauges that the leader shows for each model.
+OPEN_GROUPS = "open_groups"
+BUSY_GROUPS = "busy_groups"
 
 # Time in which an old measurement loses two thirds of its weight.
 MEMORY_S = 5.0
@@ -44,3 +49,37 @@
             )
             for name in configured
         }
+
+
+class DemandMeter:
+    """Measures the demand of each service by its open heads, and shows it."""
+
+    __slots__ = ("_kernel", "_demand_by_service")
+
+    def __init__(self, kernel):
+        self._kernel = kernel
+        self._demand_by_service = {}
+
+    def wants(self, service, now):
+        """Return each model's part of the work of ``service``, a `ServiceSpec`."""
+        demand = self._demand_by_service.setdefault(service.name, Demand())
+        busy_by_model = {
+            spec.name: self._measure(service.name, spec.name, now)
+            for spec in service.engine.models
+        }
+        demand.note(busy_by_model, now)
+        return demand.wants(service.engine)
+
+    def hide(self):
+        """Show nothing any more, since another daemon leads."""
+        for name in (OPEN_GROUPS, BUSY_GROUPS):
+            self._kernel.get("metrics").hide(name)
+
+    def _measure(self, service, model, now):
+        heads = self._kernel.get("directory").heads(service, model)
+        placement = self._kernel.get("placement")
+        busy = sum(placement.load(head).fullness(now) for head in heads)
+        metrics = self._kernel.get("metrics")
+        metrics.show(Series(OPEN_GROUPS, service, "-", model=model), len(heads))
+        metrics.show(Series(BUSY_GROUPS, service, "-", model=model), busy)
+        return busy
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -5,7 +5,7 @@
 from logbook import Logger
 
 from pimentogap.directory import MODEL_SEPARATOR, group_name, groups_of
-from pimentogap.formation._demand import Demand
+from pimentogap.formation._demand import DemandMeter
 from pimentogap.formation._forming import Forming
 from pimentogap.formation._limiter import (
     GROUP_CROWDING,
@@ -57,7 +57,7 @@
     """
 
     name = "formation"
-    requires = ("lease", "directory", "serving_configuration", "placement")
+    requires = ("lease", "directory", "serving_configuration", "placement", "metrics")
     __slots__ = (
         "_settings",
         "_engines",
@@ -65,7 +65,6 @@
         "_lease",
         "_directory",
         "_configuration",
-        "_placement",
         "_limiter",
         "_term",
         "_term_since",
@@ -75,7 +74,7 @@
         "_last_model_by_id",
         "_losses",
         "_dissolving_since_by_key",
-        "_demand_by_service",
+        "_demand",
         "_staging",
         "_started_at",
         "_list_size",
@@ -93,7 +92,7 @@
         self._lease = None
         self._directory = None
         self._configuration = None
-        self._placement = None
+        self._demand = None
         self._limiter = LoadLimiter()
         self._last_model_by_id = {}
         self._started_at = 0.0
@@ -110,7 +109,7 @@
         self._orders = OrderSender(self._kernel, self._engines, term)
         self._losses = LossWatch(self._kernel, self._engines)
         self._dissolving_since_by_key = {}
-        self._demand_by_service = {}
+        self._demand = DemandMeter(self._kernel)
         self._staging = SpareStaging()
 
     async def start(self, kernel):
@@ -120,7 +119,6 @@
         self._lease = kernel.get("lease")
         self._directory = kernel.get("directory")
         self._configuration = kernel.get("serving_configuration")
-        self._placement = kernel.get("placement")
         kernel.spawn(self.name, self._run, on_error=RestartOnError())
 
     async def stop(self):
@@ -141,7 +139,8 @@
             except TimeoutError:
                 pass
             if not self._lease.is_held():
-                self._term = 0
+                if self._term:
+                    self._stop_leading()
                 continue
             if self._term != self._lease.term:
                 self._reset(self._lease.term, clock.time())
@@ -149,6 +148,11 @@
             if self._is_settled():
                 self._act()
 
+    def _stop_leading(self):
+        self._term = 0
+        self._demand.hide()
+        log.notice("no longer leading")
+
     def _is_settled(self):
         now = self._kernel.clock.time()
         if not self._directory.loaded or self._configuration.current is None:
@@ -210,7 +214,7 @@
             ):
                 size = sizes_by_domain.get(backend.domain, 0)
                 sizes_by_domain[backend.domain] = size + 1
-        wants = self._measured_wants(service, now)
+        wants = self._demand.wants(service, now)
         targets = target_counts(
             service.engine,
             sizes_by_domain,
@@ -220,18 +224,6 @@
         self._form(service, free, counts, targets, wants)
         self._stage_spares(service, free, groups)
 
-    def _measured_wants(self, service, now):
-        """Return each model's part of the work, by what its open heads report."""
-        demand = self._demand_by_service.setdefault(service.name, Demand())
-        busy_by_model = {}
-        for spec in service.engine.models:
-            heads = self._directory.heads(service.name, spec.name)
-            busy_by_model[spec.name] = sum(
-                self._placement.load(head).fullness(now) for head in heads
-            )
-        demand.note(busy_by_model, now)
-        return demand.wants(service.engine)
-
     def _settling_domains(self, groups, now):
         """Return the domains in which members are just leaving a dissolved group.
 
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -25,6 +25,7 @@
     admit,
     is_stream,
 )
+from pimentogap.forwarding._sends import Sends, first_event_ms, outcome_name
 from pimentogap.metrics import Series
 from pimentogap.placement import Forward, Full, Missing, RetryBudget
 from pimentogap.types import RouteKind
@@ -58,19 +59,6 @@
 PROMISING_STATUSES = (408, 421, 429, 503)
 
 
-class Sends:
-    """What was tried for one request."""
-
-    __slots__ = ("tried", "may_have_run", "excluded_ids", "cutter", "first_event_at")
-
-    def __init__(self, cutter):
-        self.tried = []
-        self.may_have_run = 0
-        self.excluded_ids = set()
-        self.cutter = cutter
-        self.first_event_at = None
-
-
 class ForwardingService:
     """Serves each request by one task, from the admission to the last byte."""
 
@@ -374,7 +362,7 @@
                 self._log(request, admitted, sends, "delivered", status)
             case _ if response.begun:
                 response.abort()
-                self._log(request, admitted, sends, _name(outcome), 0)
+                self._log(request, admitted, sends, outcome_name(outcome), 0)
             case Failure(status, headers, body):
                 if status in PROMISING_STATUSES:
                     self._refuse(request, admitted, 502, "backend_failed", sends=sends)
@@ -402,7 +390,7 @@
                 status = 504 if sends.may_have_run else 503
                 self._refuse(request, admitted, status, "timed_out", sends=sends)
             case Lost() | Stalled():
-                self._refuse(request, admitted, 502, _name(outcome), sends=sends)
+                self._refuse(request, admitted, 502, outcome_name(outcome), sends=sends)
 
     def _refuse_not_run(self, request, admitted, sends, reason, after_s):
         """Refuse with the promise that nothing ran, if that is so."""
@@ -443,29 +431,8 @@
             outcome=outcome,
             status=status,
             ms=round(took_s * 1000),
-            first_ms=_first_ms(request, sends),
-            sends=[(id_, _name(o)) for id_, o in sends.tried] if sends else [],
+            first_ms=first_event_ms(request, sends),
+            sends=[(id_, outcome_name(o)) for id_, o in sends.tried] if sends else [],
             version=configuration.version if configuration else None,
             list_rev=self._directory.revision,
         )
-
-
-def _name(outcome):
-    match outcome:
-        case Lost(detail) | NotSent(detail):
-            return f"{type(outcome).__name__.lower()}: {detail}"
-        case NotRun(status):
-            return f"notrun {status}"
-        case Failure(status):
-            return f"failure {status}"
-        case Stalled(silent_s):
-            return f"stalled {silent_s:.2f}s"
-        case Abandoned(after_s):
-            return f"abandoned {after_s:.2f}s"
-    return type(outcome).__name__.lower()
-
-
-def _first_ms(request, sends):
-    if sends is None or sends.first_event_at is None:
-        return None
-    return round((sends.first_event_at - request.received_at) * 1000)
--- a/pimentogap/metrics/_service.py
+++ b/pimentogap/metrics/_service.py
@@ -12,24 +12,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Series:
-    """Names one counter or histogram: what it measures, and for whom."""
+    """Names one counter, gauge or histogram: what it measures, and for whom."""
 
     name: str
     service: str
     workspace: str
     outcome: str = ""
+    model: str = ""
 
 
 class MetricService:
-    """Counts what happened and keeps times in histograms that merge exactly."""
+    """Counts what happened and keeps times in histograms that merge exactly.
+
+    Gauges show what holds at present.
+    """
 
     name = "metrics"
     requires = ()
-    __slots__ = ("counts_by_series", "histograms_by_series")
+    __slots__ = ("counts_by_series", "histograms_by_series", "gauges_by_series")
 
     def __init__(self):
         self.counts_by_series = {}
         self.histograms_by_series = {}
+        self.gauges_by_series = {}
 
     async def start(self, kernel):
         """Do nothing; metrics need no other service."""
@@ -41,6 +46,15 @@
         """Add ``amount`` to a counter."""
         self.counts_by_series[series] = self.counts_by_series.get(series, 0) + amount
 
+    def show(self, series, value):
+        """Set a gauge."""
+        self.gauges_by_series[series] = value
+
+    def hide(self, name):
+        """Remove the gauges called ``name``, of which this daemon knows no more."""
+        for series in [s for s in self.gauges_by_series if s.name == name]:
+            del self.gauges_by_series[series]
+
     def observe(self, series, seconds):
         """Put a time into a histogram."""
         self.histogram(series).record_value(max(LOWEST_US, int(seconds * 1e6)))
@@ -58,6 +72,8 @@
         lines = []
         for series, count in self.counts_by_series.items():
             lines.append(f"{_name(series)}_total{_labels(series)} {count}")
+        for series, value in self.gauges_by_series.items():
+            lines.append(f"{_name(series)}{_labels(series)} {value:g}")
         for series, histogram in self.histograms_by_series.items():
             for percentile in SHOWN_PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
@@ -76,4 +92,6 @@
     labels = {"service": series.service, "workspace": series.workspace, **more}
     if series.outcome:
         labels["outcome"] = series.outcome
+    if series.model:
+        labels["model"] = series.model
     return "{" + ",".join(f'{key}="{value}"' for key, value in labels.items()) + "}"
