Let a group that is larger than the bounds on loads be formed

Cause: a group of 16 cold members could never load: 16 are more than 0.6 of the allowed rate (12 in 5 s at 4 a second) and more than 1.5 times what the weight store carries at once (9 of 6), while staging goes on. Found by reading. Change: such a group goes when only staging is under way and nothing was loaded in the window, by this leader or, for one window, by its predecessor. Result: a new scenario; 16 members are admitted, which the former code refused always.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -124,3 +124,17 @@
       | 1          | 6          | 5          | 5          | 5      | 4    | small       |
       | 6          | 1          | 5          | 5          | 5      | 8    | large       |
       | 1          | 1          | 4          | 4          | 5      | 6    | large small |
+
+  Scenario Outline: A group that is larger than the bounds on loads is formed alone
+    Given a weight store that carries 6 loads at once and 4 a second
+    And a leader for <leading> seconds, while <loading> loads are under way
+    Then a group with <count> members to load is <verdict>
+
+    Examples:
+      | leading | loading | count | verdict  |
+      | 20      | 0       | 16    | admitted |
+      | 20      | 3       | 16    | admitted |
+      | 20      | 4       | 16    | refused  |
+      | 2       | 0       | 16    | refused  |
+      | 2       | 5       | 4     | admitted |
+      | 20      | 6       | 4     | refused  |
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -4,14 +4,18 @@
 
 from pimentogap.formation import (
     Demand,
+    LoadLimiter,
     configured_wants,
     plan_groups,
     target_counts,
 )
 from pimentogap.platform import decode_configuration
-from pimentogap.types import Backend, BackendState
+from pimentogap.types import Backend, BackendState, EngineSpec
 from standins.emulator import configuration_document
 
+WINDOW_S = 5.0
+LOAD_S = 16.0
+
 
 @given(
     "an engine with models of {size_large:d} and {size_small:d} members"
@@ -75,3 +79,24 @@
 def then_plan(context, plan=""):
     names = " ".join(item.model.name for item in context.plans)
     assert names == plan, names
+
+
+@given("a weight store that carries {at_once:d} loads at once and {rate:g} a second")
+def given_weight_store(context, at_once, rate):
+    context.engine = EngineSpec(models=(), loads_per_s=rate, loads_at_once=at_once)
+
+
+@given("a leader for {leading:g} seconds, while {loading:d} loads are under way")
+def given_leader(context, leading, loading):
+    context.limiter = LoadLimiter(WINDOW_S)
+    context.limiter.restart(0.0)
+    context.limiter.note(loading, leading, load_s=LOAD_S)
+    context.now = leading
+
+
+@then("a group with {count:d} members to load is {verdict}")
+def then_admitted(context, count, verdict):
+    admitted = context.limiter.admit_group(
+        context.engine, count, context.now, load_s=LOAD_S
+    )
+    assert admitted is (verdict == "admitted")
--- a/pimentogap/formation/__init__.py
+++ b/pimentogap/formation/__init__.py
@@ -2,6 +2,7 @@
 
 from pimentogap.formation._demand import Demand
 from pimentogap.formation._lease import LeaseService
+from pimentogap.formation._limiter import LoadLimiter
 from pimentogap.formation._plan import (
     Plan,
     configured_wants,
@@ -14,6 +15,7 @@
     "Demand",
     "FormationService",
     "LeaseService",
+    "LoadLimiter",
     "Plan",
     "configured_wants",
     "plan_groups",
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -7,11 +7,7 @@
 from pimentogap.directory import MODEL_SEPARATOR, group_name, groups_of
 from pimentogap.formation._demand import DemandMeter
 from pimentogap.formation._forming import Forming
-from pimentogap.formation._limiter import (
-    GROUP_CROWDING,
-    STAGING_CROWDING,
-    LoadLimiter,
-)
+from pimentogap.formation._limiter import LoadLimiter
 from pimentogap.formation._losses import LossWatch
 from pimentogap.formation._orders import OrderSender
 from pimentogap.formation._plan import (
@@ -93,7 +89,7 @@
         self._directory = None
         self._configuration = None
         self._demand = None
-        self._limiter = LoadLimiter()
+        self._limiter = LoadLimiter(settings.load_window_s)
         self._last_model_by_id = {}
         self._started_at = 0.0
         self._list_size = 0
@@ -104,6 +100,7 @@
     def _reset(self, term, now):
         self._term = term
         self._term_since = now
+        self._limiter.restart(now)
         self._epoch_count = 0
         self._forming_by_key = {}
         self._orders = OrderSender(self._kernel, self._engines, term)
@@ -338,9 +335,7 @@
         )
         now = self._kernel.clock.time()
         for plan in plans:
-            if plan.loads and not self._admit_loads(
-                service, plan.model, plan.loads, GROUP_CROWDING
-            ):
+            if not self._may_load(service, plan, now):
                 continue
             self._epoch_count += 1
             epoch = self._term * EPOCHS_FOR_EACH_TERM + self._epoch_count
@@ -395,16 +390,17 @@
                 self._orders.ask(backend, join)
         return True
 
-    def _admit_loads(self, service, model, count, crowding):
-        if self._loads_are_free():
+    def _may_load(self, service, plan, now):
+        if not plan.loads or self._loads_are_free():
             return True
-        return self._limiter.admit(
-            service.engine,
-            count,
-            self._kernel.clock.time(),
-            load_s=model.load_s,
-            window_s=self._settings.load_window_s,
-            crowding=crowding,
+        return self._limiter.admit_group(
+            service.engine, plan.loads, now, load_s=plan.model.load_s
+        )
+
+    def _may_stage(self, service, load_s):
+        now = self._kernel.clock.time()
+        return self._loads_are_free() or self._limiter.admit_staging(
+            service.engine, now, load_s=load_s
         )
 
     def _loads_are_free(self):
@@ -433,7 +429,7 @@
                 for name, spec in specs_by_name.items()
             }
             for backend, model in self._staging.choose(spares, weights):
-                spec = specs_by_name[model]
-                if self._admit_loads(service, spec, 1, STAGING_CROWDING):
+                load_s = specs_by_name[model].load_s
+                if self._may_stage(service, load_s):
                     self._staging.note(backend, model)
                     self._orders.ask(backend, StageWeights(model))
