Judge stops of the soak that take too long

Cause: found on reading the change again. Whether a stop was excused was asked while its own span, planned work, was already noted, so that every stop that outlasted the grace period was excused and the check could not fail. Change: only unplanned disturbances of the daemon or of what it reaches, from SIGTERM to the end, excuse it.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -307,8 +307,10 @@
         if not daemon.running or daemon.stopping_since is not None:
             return
         span = self.span("stop", daemon, planned=True)
-        paused = self.disturbed(daemon, time.monotonic(), time.monotonic())
-        if not await daemon.stop(GRACE_S) and not paused:
+        ended = await daemon.stop(GRACE_S)
+        if not ended and not self.disturbed(
+            daemon, span.began_at, time.monotonic(), planned=False, replicas=False
+        ):
             span.what = "stop that took too long"
         await self._start_again(daemon, span)
 
