Give large answers of the store the time that they need

Cause: every read of the store had a time limit for the whole exchange, 0.65 s while a daemon catches up after an outage. An answer that takes longer on a slow link (a list of 925 entries, a configuration with 1,000 routes on 10 Mbit/s) was cut off and asked for again, without end, while smaller collections were followed. Ruled out: a longer limit for the whole exchange, since a silent store would be noticed later by as much. Change: the limit holds until the answer begins; afterwards its bytes may pause for 0.6 s, and take 6 s in all.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -89,3 +89,14 @@
       | everybody    | 7.25    |
       | every daemon | 7.76    |
       | every daemon | 8.44    |
+
+  Scenario: A large version is in force in time on slow links after an outage
+    Given a platform with 1 fabric domains of 8 replicas and 4 daemons
+    And its groups are open
+    When the answers of the store arrive at 200000 bytes a second
+    And the store is silent
+    And 3 seconds pass
+    And version 2 of the configuration is written with 1000 more routes
+    And the store is up
+    And 4 seconds pass
+    Then the version in force is 2
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -10,6 +10,7 @@
 from standins.emulator import (
     EmulatedFleet,
     configuration_document,
+    default_routes,
 )
 
 FORMATION_LIMIT_S = 6.0
@@ -293,6 +294,22 @@
     context.simulation.fleet.store.put("config", "main", document)
 
 
+@when("version {version:d} of the configuration is written with {count:d} more routes")
+def when_large_version(context, version, count):
+    routes = default_routes()
+    more = [
+        {**routes[0], "name": f"more-{i}", "pathPrefix": f"/more-{i}/"}
+        for i in range(count)
+    ]
+    document = configuration_document(version, routes=routes + more)
+    context.simulation.fleet.store.put("config", "main", document)
+
+
+@when("the answers of the store arrive at {rate:d} bytes a second")
+def when_store_links_slow(context, rate):
+    context.simulation.fleet.store.faults.bytes_per_s = rate
+
+
 @when("an invalid configuration is written")
 def when_configuration_invalid(context):
     context.simulation.fleet.store.put("config", "main", {"version": 9, "routes": 7})
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -23,10 +23,13 @@
     Watch,
     Written,
 )
-from pimentogap.types import HttpRequest
+from pimentogap.types import HttpRequest, TransferLimits
 
 NOT_CARRIED_OUT_STATUSES = (429, 503)
 WATCH_GRACE_S = 0.6
+# A list, or the changes after an outage, may be a megabyte, which takes seconds on a
+# link of 10 Mbit/s that other answers share.
+TRANSFER = TransferLimits(stall_s=0.6, total_s=6.0)
 MS_PER_S = 1000
 
 
@@ -42,7 +45,8 @@
     async def call(self, call, *, timeout_s):
         """Send ``call`` and return its decoded answer.
 
-        :param timeout_s: seconds for the exchange; a `Watch` sets its own.
+        :param timeout_s: seconds until the answer begins; a `Watch` sets its own.
+            `TRANSFER` limits an answer that has begun.
         :raises StoreUnavailable: if the call was certainly not executed.
         :raises StoreAnswerLost: if it may have been executed.
         :raises StoreError: if the object API has no such call or answer.
@@ -52,7 +56,10 @@
             timeout_s = call.wait_s + WATCH_GRACE_S
         try:
             response = await self._client.fetch(
-                self._address, _encode(call), timeout_s=timeout_s
+                self._address,
+                _encode(call),
+                timeout_s=timeout_s,
+                transfer=TRANSFER,
             )
             if response.status in NOT_CARRIED_OUT_STATUSES:
                 raise StoreUnavailable(f"the store answered {response.status}")
--- a/pimentogap/types/__init__.py
+++ b/pimentogap/types/__init__.py
@@ -25,7 +25,7 @@
     Vm,
     VmState,
 )
-from pimentogap.types._http import HttpRequest, HttpResponse
+from pimentogap.types._http import HttpRequest, HttpResponse, TransferLimits
 from pimentogap.types._orders import (
     CloseGroup,
     JoinGroup,
@@ -97,6 +97,7 @@
     "EngineKind",
     "HttpRequest",
     "HttpResponse",
+    "TransferLimits",
     "ItemKey",
     "ModelGroup",
     "ModelService",
--- a/pimentogap/types/_http.py
+++ b/pimentogap/types/_http.py
@@ -35,3 +35,15 @@
             return json.loads(self.body)
         except ValueError:
             raise ResponseLost("the body of the response is not JSON")
+
+
+@dataclass(frozen=True, slots=True)
+class TransferLimits:
+    """Limits on a body that has begun to arrive, in seconds.
+
+    ``stall_s`` is the longest wait for its next bytes, ``total_s`` the longest time
+    from the head to its end.
+    """
+
+    stall_s: float
+    total_s: float
--- a/pimentogap/web/_client.py
+++ b/pimentogap/web/_client.py
@@ -26,18 +26,39 @@
 class BodyBuffer:
     """Receiver that buffers a response of at most ``MAX_BUFFERED_BODY_BYTES``."""
 
-    __slots__ = ("status", "headers", "_chunks", "_size")
-
-    def __init__(self):
+    __slots__ = (
+        "status",
+        "headers",
+        "_chunks",
+        "_size",
+        "_timeout",
+        "_transfer",
+        "_transfer_ends_at",
+    )
+
+    def __init__(self, timeout=None, transfer=None):
+        """Postpone ``timeout`` while the response arrives.
+
+        :param timeout: the `asyncio.Timeout` of the exchange.
+        :param transfer: the `TransferLimits` of a response that has begun; without
+            them, ``timeout`` is left as it is.
+        """
         self.status = 0
         self.headers = None
         self._chunks = []
         self._size = 0
+        self._timeout = timeout
+        self._transfer = transfer
+        self._transfer_ends_at = 0.0
 
     def headers_received(self, status, headers):
         """Store the status and headers of the response."""
         self.status = status
         self.headers = headers
+        if self._transfer is not None:
+            now = asyncio.get_running_loop().time()
+            self._transfer_ends_at = now + self._transfer.total_s
+            self._postpone_timeout(now)
 
     def data_received(self, chunk):
         """Append a chunk of the body.
@@ -48,6 +69,18 @@
         if self._size > MAX_BUFFERED_BODY_BYTES:
             raise ResponseLost("the body of the response is too large")
         self._chunks.append(chunk)
+        if self._transfer is not None:
+            self._postpone_timeout(asyncio.get_running_loop().time())
+
+    def _postpone_timeout(self, now):
+        stalls_at = min(now + self._transfer.stall_s, self._transfer_ends_at)
+        self._timeout.reschedule(max(self._timeout.when(), stalls_at))
+
+    def timeout_message(self, address, timeout_s):
+        """Return what to report about a response that did not arrive in time."""
+        if self.status:
+            return f"the response of {address} stalled after {self._size} bytes"
+        return f"no response from {address} in {timeout_s:g} s"
 
     def response(self):
         """Return the `HttpResponse`."""
@@ -131,21 +164,23 @@
         )
         self.connections_opened = 0
 
-    async def fetch(self, address, request, *, timeout_s, fresh=False):
+    async def fetch(self, address, request, *, timeout_s, fresh=False, transfer=None):
         """Send ``request`` to ``address`` and return the `HttpResponse`.
 
-        :param timeout_s: seconds for the whole exchange.
+        :param timeout_s: seconds for the whole exchange, or, with ``transfer``, until
+            the response begins.
         :param fresh: open a connection for this request alone.
+        :param transfer: the `TransferLimits` of a response that has begun.
         :raises ConnectionFailed: if nothing of the request was sent.
         :raises ResponseLost: if the response did not arrive completely; a
-            `ResponseTimeout` if ``timeout_s`` has passed.
+            `ResponseTimeout` if the time for it has passed.
         """
-        buffer = BodyBuffer()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                buffer = BodyBuffer(timeout, transfer)
                 await self._exchange_keep_alive(address, request, buffer, fresh=fresh)
         except TimeoutError:
-            raise ResponseTimeout(f"no answer from {address} in {timeout_s:g} s")
+            raise ResponseTimeout(buffer.timeout_message(address, timeout_s))
         return buffer.response()
 
     async def exchange(self, address, request, receiver):
--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -1,6 +1,10 @@
 """An in-process emulator of the platform: its store, its replicas and its network."""
 
-from standins.emulator._documents import configuration_document, settings_document
+from standins.emulator._documents import (
+    configuration_document,
+    default_routes,
+    settings_document,
+)
 from standins.emulator._fleet import EmulatedFleet, Request
 from standins.emulator._network import EmulatedNetwork
 from standins.emulator._plain import PlainReplica
@@ -17,5 +21,6 @@
     "Records",
     "Request",
     "configuration_document",
+    "default_routes",
     "settings_document",
 ]
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -47,19 +47,20 @@
         self._network = network
         self._source = source
 
-    async def fetch(self, address, request, *, timeout_s):
+    async def fetch(self, address, request, *, timeout_s, transfer=None):
         """Send ``request`` and return the complete response.
 
         :raises ConnectionFailed: if nothing listens on ``address``.
         :raises ResponseLost: if the connection was closed before the end.
-        :raises ResponseTimeout: if the response took longer than ``timeout_s``.
+        :raises ResponseTimeout: if the response did not begin within ``timeout_s``,
+            or exceeded ``transfer``, the `TransferLimits`, afterwards.
         """
-        buffer = BodyBuffer()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timeout:
+                buffer = BodyBuffer(timeout, transfer)
                 await self._deliver(address, request, _BufferReceiver(buffer))
         except TimeoutError:
-            raise ResponseTimeout(f"no answer from {address}")
+            raise ResponseTimeout(buffer.timeout_message(address, timeout_s))
         return buffer.response()
 
     async def exchange(
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -10,6 +10,7 @@
 
 HISTORY_EVENTS = 2000
 RESPONSE_DELAY_S = 0.004
+PARTS_PER_S = 10
 # Longer than any client waits for an answer.
 SILENCE_S = 3600.0
 # A stale list omits the objects written by this many of the latest revisions.
@@ -22,7 +23,8 @@
 
     ``down`` answers every call with status 503; ``silent`` answers none.
     ``refused_sources`` and ``silent_sources`` name the daemons that get these two
-    faults while the others are served.
+    faults while the others are served. ``bytes_per_s`` is the rate of each answer's
+    body, which arrives in ten parts a second; 0 for no limit.
     ``slow_s`` is added to the time of every answer. ``lose_answer_share`` is the share
     of writes, from 0 to 1, that are executed and not answered; if ``late_writes_s`` is
     set, they are executed late, after 1 s to that many seconds.
@@ -32,6 +34,7 @@
         "down",
         "silent",
         "slow_s",
+        "bytes_per_s",
         "lose_answer_share",
         "late_writes_s",
         "refused_sources",
@@ -42,6 +45,7 @@
         self.down = False
         self.silent = False
         self.slow_s = 0.0
+        self.bytes_per_s = 0
         self.lose_answer_share = 0.0
         self.late_writes_s = 0.0
         self.refused_sources = set()
@@ -242,4 +246,8 @@
             "Content-Length": str(len(body)),
         }
         reply.start(status, headers)
-        await reply.data(body)
+        part = self.faults.bytes_per_s // PARTS_PER_S or len(body)
+        for start in range(0, len(body), part):
+            if self.faults.bytes_per_s:
+                await asyncio.sleep(1 / PARTS_PER_S)
+            await reply.data(body[start : start + part])
