Keep a group whose member is only cut off from the store

Change: a member whose entry expires stays in its group for up to 12 s; daemons go on using the head, and the leader probes the member: one that answers keeps its group, one that is leaving has it drained, one that does not answer is lost. A head without an entry gets no requests. Result: the new scenario of a member that is cut off failed before and passes; the scenario of one that leaves without saying so passed before and passes.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -89,6 +89,30 @@
     Then there are at least 3 open groups of model large
     And no replica was in two groups, and no incomplete group ran a request
 
+  Scenario: A group goes on serving while a member is cut off from the store alone
+    Given a first request has been answered
+    When 60 seconds pass
+    And a member of a group of model large is cut off from the store
+    And its entry expires
+    And 1.5 seconds pass
+    Then there are 3 open groups of model large, each since before the cut
+    And every daemon knows 3 heads of model large
+    When the member reaches the store again
+    And 15 seconds pass
+    Then there are 3 open groups of model large, each since before the cut
+    And no replica was in two groups, and no incomplete group ran a request
+
+  Scenario: A group of an absent member that is about to leave is drained
+    Given a first request has been answered
+    When 60 seconds pass
+    And 6 streams of model large are requested
+    And 0.2 seconds pass
+    And a member of a group of model large leaves without having said so
+    And its entry expires
+    And 8 seconds pass
+    Then every stream is complete, with each event exactly once
+    And there are at least 3 open groups of model large
+
   Scenario: Concurrent weight loads are limited so that they do not slow each other down
     Given a first request has been answered
     When 4 empty replicas are added to each of 3 fabric domains
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,6 +8,7 @@
 from pimentogap.ingress import LATE_REQUEST_DELAY_S
 from pimentogap.store import Stored
 from standins.emulator import (
+    MODEL_SERVICE,
     EmulatedFleet,
     configuration_document,
     default_routes,
@@ -114,6 +115,45 @@
     context.failed_replica = head.id
 
 
+@when("a member of a group of model {model} is cut off from the store")
+def when_member_cut_off(context, model):
+    fleet = context.simulation.fleet
+    heads = fleet.open_group_heads(model)
+    context.groups_before = {head.place.group for head in heads}
+    context.failed_replica = heads[0].place.members[-1]
+    fleet.replicas_by_id[context.failed_replica].cut_from_store = True
+
+
+@when("a member of a group of model {model} leaves without having said so")
+def when_member_leaves_silently(context, model):
+    fleet = context.simulation.fleet
+    context.failed_replica = fleet.open_group_heads(model)[0].place.members[-1]
+    replica = fleet.replicas_by_id[context.failed_replica]
+    replica.cut_from_store = True
+    replica.state = "draining"
+
+
+@when("the member reaches the store again")
+def when_member_back(context):
+    replica = context.simulation.fleet.replicas_by_id[context.failed_replica]
+    replica.cut_from_store = False
+    replica.publish()
+
+
+@then("there are {count:d} open groups of model {model}, each since before the cut")
+def then_same_groups(context, count, model):
+    heads = context.simulation.fleet.open_group_heads(model)
+    groups = {head.place.group for head in heads}
+    assert groups == context.groups_before and len(groups) == count, groups
+
+
+@then("every daemon knows {count:d} heads of model {model}")
+def then_heads_known(context, count, model):
+    for name, kernel in context.simulation.fleet.kernels_by_name.items():
+        heads = kernel.get("directory").heads(MODEL_SERVICE, model)
+        assert len(heads) == count, (name, heads)
+
+
 @when("its entry expires")
 def when_entry_expires(context):
     context.simulation.fleet.store.remove("servers", context.failed_replica)
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -4,7 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.directory._groups import build_group_views
+from pimentogap.directory._groups import COMPLETE_GROUP_STATES, build_group_views
 from pimentogap.types import BackendState, MemberState
 
 log = Logger("directory")
@@ -12,18 +12,29 @@
 # Live backend servers whose entries expired during a store outage have written
 # them again within this time after it.
 REREGISTRATION_GRACE_S = 2.5
+# A backend server that cannot reach the store stays a member of its group for this
+# long after its entry expired, unless the leader finds out that it is lost.
+ABSENCE_LIMIT_S = 12.0
 # A larger share of the entries disappears at once only because of a store outage,
 # even if no call of this daemon failed; a lost fabric domain is a smaller share.
 MASS_REMOVAL_SHARE = 0.34
 
 
 class DirectoryService:
-    """Lists the backend servers of each service and those that may get requests."""
+    """Lists the backend servers of each service and those that may get requests.
+
+    The entry of a server that is cut off from the store expires while the server
+    goes on working. So a member of a complete group stays in it for up to
+    `ABSENCE_LIMIT_S` without an entry, listed in ``absent_by_id``: its head serves
+    until the leader has probed the member and closed the group. An absent head
+    gets no requests.
+    """
 
     name = "directory"
     requires = ("relay", "serving_configuration")
     __slots__ = (
         "backends_by_id",
+        "absent_by_id",
         "groups_by_key",
         "loaded",
         "changed",
@@ -46,6 +57,7 @@
             value, or ``None`` if the entry is invalid.
         """
         self.backends_by_id = {}
+        self.absent_by_id = {}
         self.groups_by_key = {}
         self.loaded = False
         self.changed = asyncio.Event()
@@ -94,11 +106,35 @@
         ):
             self._defer_removals(missing, after, before)
         self._log_changes(before, after, update.revision)
+        self._update_absences(before, after, update.revision)
         self.backends_by_id = after
         self.revision = update.revision
         self.loaded = True
         self.invalidate()
 
+    def _update_absences(self, before, after, revision):
+        for id_ in self.absent_by_id.keys() & after.keys():
+            del self.absent_by_id[id_]
+        for id_ in before.keys() - after.keys():
+            backend = before[id_]
+            membership = backend.membership
+            if (
+                membership is not None
+                and membership.state in COMPLETE_GROUP_STATES
+                and backend.state is BackendState.READY
+            ):
+                self.absent_by_id[id_] = backend
+                self._kernel.spawn(self.name, self._forget_absent, backend)
+                log.info(
+                    "member absent", backend=id_, group=membership.group, rev=revision
+                )
+
+    async def _forget_absent(self, backend):
+        await self._kernel.clock.sleep(ABSENCE_LIMIT_S)
+        if self.absent_by_id.get(backend.id) is backend:
+            del self.absent_by_id[backend.id]
+            self.invalidate()
+
     def _defer_removals(self, missing, after, before):
         """Keep ``missing`` entries for up to `REREGISTRATION_GRACE_S` seconds.
 
@@ -114,15 +150,23 @@
 
     async def _remove_deferred(self):
         await self._kernel.clock.sleep(REREGISTRATION_GRACE_S)
-        for id_ in self._deferred_removal_ids:
-            log.info("backend gone", backend=id_, rev=self.revision)
-            self.backends_by_id.pop(id_, None)
+        before = self.backends_by_id
+        after = {
+            id_: backend
+            for id_, backend in before.items()
+            if id_ not in self._deferred_removal_ids
+        }
         self._deferred_removal_ids.clear()
+        self._log_changes(before, after, self.revision)
+        self._update_absences(before, after, self.revision)
+        self.backends_by_id = after
         self.invalidate()
 
     def invalidate(self):
         """Rebuild the groups, discard the index and wake waiting tasks."""
-        self.groups_by_key = build_group_views(self.backends_by_id.values())
+        self.groups_by_key = build_group_views(
+            [*self.absent_by_id.values(), *self.backends_by_id.values()]
+        )
         self._indexed_configuration = None
         self.changed.set()
         self.changed = asyncio.Event()
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -5,6 +5,7 @@
 from logbook import Logger
 
 from pimentogap.directory import MODEL_SEPARATOR, build_group_views, group_name
+from pimentogap.formation._absences import AbsenceProber
 from pimentogap.formation._demand import DemandMeter
 from pimentogap.formation._forming import FormingGroup
 from pimentogap.formation._limiter import LoadLimiter
@@ -74,6 +75,7 @@
         "_orders",
         "_last_model_by_id",
         "_losses",
+        "_absences",
         "_dissolving_since_by_key",
         "_demand",
         "_staging",
@@ -110,6 +112,7 @@
         self._forming_by_key = {}
         self._orders = OrderSender(self._kernel, self._engines, term)
         self._losses = LossDetector(self._kernel, self._engines)
+        self._absences = AbsenceProber(self._kernel, self._engines)
         self._dissolving_since_by_key = {}
         self._demand = DemandMeter(self._kernel)
         self._staging = SpareStaging()
@@ -182,7 +185,7 @@
             backend
             for backend in self._directory.backends_by_id.values()
             if backend.service == service.name
-        ]
+        ] + self._absences.present_members(service)
         self._record_last_models(backends)
         groups = build_group_views(backends)
         specs = {spec.name: spec for spec in service.engine.models}
--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -85,6 +85,7 @@
     return ServiceSpec(
         name=item["name"],
         engine=_engine(engine) if engine else None,
+        health_path=str(item.get("healthPath") or "/health"),
     )
 
 
--- a/pimentogap/platform/_engines.py
+++ b/pimentogap/platform/_engines.py
@@ -20,6 +20,7 @@
 ORDER_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 0.25
 OK_STATUS = 200
+UNHEALTHY_STATUS = 503
 
 
 class HttpEngines:
@@ -85,6 +86,26 @@
         }
         return decode_backend(backend.id, data)
 
+    async def is_leaving(self, backend, health_path):
+        """Return whether the health check of ``backend`` says that it is leaving.
+
+        No answer, or one that the check was not run, says nothing, since a check
+        waits for a slot.
+        """
+        request = HttpRequest(
+            "GET", health_path, {"X-Pimentogap-Expect-Replica": backend.id}
+        )
+        try:
+            response = await self._client.fetch(
+                backend.address, request, timeout_s=REPORT_TIMEOUT_S
+            )
+        except (ConnectionFailed, ResponseLost):
+            return False
+        return (
+            response.status == UNHEALTHY_STATUS
+            and "X-Pimentogap-Not-Executed" not in response.headers
+        )
+
 
 def _encode(order):
     match order:
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -82,10 +82,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSpec:
-    """A service that routes lead to; ``engine`` is ``None`` for a plain service."""
+    """A service that routes lead to; ``engine`` is ``None`` for a plain service.
+
+    ``health_path`` is where its backend servers answer health checks.
+    """
 
     name: str
     engine: EngineSpec | None = None
+    health_path: str = "/health"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -1,6 +1,7 @@
 """An in-process emulator of the platform: its store, its replicas and its network."""
 
 from standins.emulator._documents import (
+    MODEL_SERVICE,
     configuration_document,
     default_routes,
     settings_document,
@@ -13,6 +14,7 @@
 from standins.emulator._store import ObjectStore
 
 __all__ = [
+    "MODEL_SERVICE",
     "EmulatedFleet",
     "EmulatedNetwork",
     "ModelReplica",
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -175,6 +175,8 @@
             await self._answer(reply, 421, {}, {"X-Pimentogap-Replica-Id": self.id})
         elif path == "/api/report":
             await self._answer(reply, 200, self._report())
+        elif path == "/health":
+            await self._answer(reply, 200 if self.state == "ready" else 503, {})
         elif path == "/api/order":
             await self._handle_order(json.loads(request.body), reply)
         else:
