Form groups of listed or working members only

A group being formed was abandoned as soon as the entry of a joining member expired. Change: an absent server without a group is not free, and a joining member that works may be absent too. Result: a new scenario for the group being formed.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -102,6 +102,18 @@
     Then there are 3 open groups of model large, each since before the cut
     And no replica was in two groups, and no incomplete group ran a request
 
+  Scenario: A group that is being formed opens although a member is cut off from the store
+    Given a first request has been answered
+    When 60 seconds pass
+    And a member of a group of model large is lost for good
+    And its entry expires
+    And 1 seconds pass
+    And a joining member of a group is cut off from the store
+    And its entry expires
+    And 4 seconds pass
+    Then there are at least 3 open groups of model large
+    And no replica was in two groups, and no incomplete group ran a request
+
   Scenario: A group of an absent member that is about to leave is drained
     Given a first request has been answered
     When 60 seconds pass
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -124,6 +124,19 @@
     fleet.replicas_by_id[context.failed_replica].cut_from_store = True
 
 
+@when("a joining member of a group is cut off from the store")
+def when_joining_member_cut_off(context):
+    fleet = context.simulation.fleet
+    joining = [
+        replica
+        for replica in fleet.replicas_by_id.values()
+        if replica.place is not None and replica.place.state == "joining"
+    ]
+    replica = max(joining, key=lambda item: item.place.rank)
+    replica.cut_from_store = True
+    context.failed_replica = replica.id
+
+
 @when("a member of a group of model {model} leaves without having said so")
 def when_member_leaves_silently(context, model):
     fleet = context.simulation.fleet
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -4,7 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.directory._groups import COMPLETE_GROUP_STATES, build_group_views
+from pimentogap.directory._groups import build_group_views
 from pimentogap.types import BackendState, MemberState
 
 log = Logger("directory")
@@ -15,6 +15,7 @@
 # A backend server that cannot reach the store stays a member of its group for this
 # long after its entry expired, unless the leader finds out that it is lost.
 ABSENCE_LIMIT_S = 12.0
+MEMBER_STATES = (MemberState.JOINING, MemberState.READY, MemberState.OPEN)
 # A larger share of the entries disappears at once only because of a store outage,
 # even if no call of this daemon failed; a lost fabric domain is a smaller share.
 MASS_REMOVAL_SHARE = 0.34
@@ -24,7 +25,7 @@
     """Lists the backend servers of each service and those that may get requests.
 
     The entry of a server that is cut off from the store expires while the server
-    goes on working. So a member of a complete group stays in it for up to
+    goes on working. So a member of a group stays in it for up to
     `ABSENCE_LIMIT_S` without an entry, listed in ``absent_by_id``: its head serves
     until the leader has probed the member and closed the group. An absent head
     gets no requests.
@@ -120,7 +121,7 @@
             membership = backend.membership
             if (
                 membership is not None
-                and membership.state in COMPLETE_GROUP_STATES
+                and membership.state in MEMBER_STATES
                 and backend.state is BackendState.READY
             ):
                 self.absent_by_id[id_] = backend
--- a/pimentogap/formation/_absences.py
+++ b/pimentogap/formation/_absences.py
@@ -5,12 +5,14 @@
 from logbook import Logger
 
 from pimentogap.errors import ConnectionFailed, ResponseLost
-from pimentogap.types import BackendState
+from pimentogap.types import BackendState, MemberState
 
 log = Logger("formation.absences")
 
 OWNER = "formation"
 PROBE_INTERVAL_S = 1.0
+# While a member loads weights, its report tells when the group can be opened.
+JOINING_PROBE_INTERVAL_S = 0.3
 # A probe that fails is repeated once after this time: the loss of one packet may have
 # caused the failure.
 RETRY_DELAY_S = 0.1
@@ -45,6 +47,8 @@
 
         Each is the `Backend` as its last report shows it, or, until the first report,
         as its last entry did. One that is about to leave is in the state ``DRAINING``.
+        One that has left its group is not among them: without an entry it cannot
+        join another.
         """
         absent_by_id = self._kernel.get("directory").absent_by_id
         for id_, backend in absent_by_id.items():
@@ -55,11 +59,12 @@
                 self._observed_by_id.pop(id_, None)
                 self._lost_ids.discard(id_)
                 self._kernel.spawn(OWNER, self._probe, backend, service.health_path)
-        return [
+        present = [
             self._observed_by_id.get(id_, backend)
             for id_, backend in absent_by_id.items()
             if backend.service == service.name and id_ not in self._lost_ids
         ]
+        return [backend for backend in present if backend.membership is not None]
 
     async def _probe(self, backend, health_path):
         """Probe ``backend`` until it is lost or no longer absent."""
@@ -83,7 +88,9 @@
                     "absent member works", backend=backend.id, state=observed.state
                 )
             self._observed_by_id[backend.id] = observed
-            await clock.sleep(PROBE_INTERVAL_S)
+            membership = observed.membership
+            joins = membership is not None and membership.state is MemberState.JOINING
+            await clock.sleep(JOINING_PROBE_INTERVAL_S if joins else PROBE_INTERVAL_S)
         self._observed_by_id.pop(backend.id, None)
 
     async def _observe(self, backend, health_path):
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -76,6 +76,7 @@
         "_last_model_by_id",
         "_losses",
         "_absences",
+        "_present_by_id",
         "_dissolving_since_by_key",
         "_demand",
         "_staging",
@@ -113,6 +114,7 @@
         self._orders = OrderSender(self._kernel, self._engines, term)
         self._losses = LossDetector(self._kernel, self._engines)
         self._absences = AbsenceProber(self._kernel, self._engines)
+        self._present_by_id = {}
         self._dissolving_since_by_key = {}
         self._demand = DemandMeter(self._kernel)
         self._staging = SpareStaging()
@@ -186,6 +188,7 @@
             for backend in self._directory.backends_by_id.values()
             if backend.service == service.name
         ] + self._absences.present_members(service)
+        self._present_by_id = {backend.id: backend for backend in backends}
         self._record_last_models(backends)
         groups = build_group_views(backends)
         specs = {spec.name: spec for spec in service.engine.models}
@@ -388,7 +391,7 @@
         :return: whether it is still being formed; not so once its head is open.
         """
         now = self._kernel.clock.time()
-        backends = [self._directory.backends_by_id.get(id_) for id_ in forming.members]
+        backends = [self._present_by_id.get(id_) for id_ in forming.members]
         unusable_ids = [
             id_
             for id_, item in zip(forming.members, backends, strict=True)
