Encode what a relay passes on once, and compress it

Cause: a relay encoded each change as JSON for every daemon that asked, and sent a whole collection of 925 entries (325 KB) to twenty others at once; from a link of 10 Mbit/s that takes 5 s, more than a relay call may last. A call that ran into its time limit closed the connection, and with it the call for the other collection. Ruled out: a binary format in place of JSON (the ids and names are what is long). Change: daemons that ask for the same changes get one answer that is encoded once, and compressed if the caller says that it can undo it; a call for a whole collection may take 4 s; a connection is closed once no call waits on it. An answer that cannot be decoded counts as lost. Daemons of the previous version get plain JSON.

--- a/pimentogap/calls/__init__.py
+++ b/pimentogap/calls/__init__.py
@@ -1,5 +1,6 @@
-"""Calls between daemons, dispatched to handlers by name."""
+"""Calls between daemons, addressed by name."""
 
+from pimentogap.calls._answers import COMPRESSION, SharedAnswer, decode_answer
 from pimentogap.calls._service import CallService
 
-__all__ = ["CallService"]
+__all__ = ["COMPRESSION", "CallService", "SharedAnswer", "decode_answer"]
--- a/pimentogap/calls/_service.py
+++ b/pimentogap/calls/_service.py
@@ -37,7 +37,7 @@
         """Register the handler of the calls named ``name``.
 
         :param handler: a coroutine function that gets the body of a call and
-            returns the answer, a dictionary of plain data.
+            returns the answer, a dictionary of plain data or a `SharedAnswer` of one.
         """
         self._handlers_by_name[name] = handler
 
--- a/pimentogap/peers/grpc.py
+++ b/pimentogap/peers/grpc.py
@@ -12,6 +12,7 @@
 from grpclib.server import Server
 from logbook import Logger
 
+from pimentogap.calls import COMPRESSION, SharedAnswer, decode_answer
 from pimentogap.errors import PeerRefused, PeerUnreachable, ResponseLost
 from pimentogap.peers._encoding import decode_frame, encode_frame
 from pimentogap.peers.proto.peers_grpc import FleetBase, FleetStub
@@ -22,6 +23,8 @@
 CONNECT_TIMEOUT_S = 1.0
 PROOF_HEADER = "fleet-proof"
 SENDER_HEADER = "fleet-sender"
+# Names the compression that the caller can undo; daemons of earlier versions send none.
+ACCEPT_HEADER = "fleet-accept"
 
 
 class GrpcTransport:
@@ -38,7 +41,7 @@
         "_own_id",
         "_fleet_key",
         "_server",
-        "_channels_by_address",
+        "_links_by_address",
     )
 
     def __init__(self, own_id, fleet_key):
@@ -47,7 +50,7 @@
         self._own_id = own_id
         self._fleet_key = fleet_key.encode()
         self._server = None
-        self._channels_by_address = {}
+        self._links_by_address = {}
 
     async def listen(self, address, accept_session, answer_call):
         """Serve ``address`` until `close`.
@@ -55,7 +58,7 @@
         :param accept_session: coroutine function called with each accepted
             `GrpcSession`.
         :param answer_call: coroutine function called with the name of a call and its
-            decoded JSON body; returns the answer, to be encoded as JSON.
+            decoded JSON body; returns the answer, plain data or a `SharedAnswer`.
         """
         host, _, port = address.rpartition(":")
         handler = _Handler(self, accept_session, answer_call)
@@ -67,9 +70,9 @@
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
-        for channel in self._channels_by_address.values():
-            channel.close()
-        self._channels_by_address.clear()
+        for link in self._links_by_address.values():
+            link.channel.close()
+        self._links_by_address.clear()
 
     @asynccontextmanager
     async def open_session(self, address):
@@ -103,26 +106,44 @@
         :param timeout_s: seconds to wait for the answer once connected.
 
         :raises PeerUnreachable: if nothing was sent.
-        :raises ResponseLost: if no answer arrived; the call may have been handled.
+        :raises ResponseLost: if no answer arrived, or one that cannot be decoded; the
+            call may have been handled.
         """
-        channel = self._channels_by_address.get(address)
-        if channel is None:
-            channel = self._channels_by_address[address] = _channel(address)
+        link = self._links_by_address.get(address)
+        if link is None:
+            link = self._links_by_address[address] = _Link(_channel(address))
+        link.calls_in_flight += 1
+        try:
+            return await self._call(link.channel, address, service, body, timeout_s)
+        except (PeerUnreachable, ResponseLost):
+            # The connection may be dead without a reset; the next call opens another.
+            # Calls in flight on this one, such as a large answer, may go on.
+            if self._links_by_address.get(address) is link:
+                del self._links_by_address[address]
+            link.is_dropped = True
+            raise
+        finally:
+            link.calls_in_flight -= 1
+            if link.is_dropped and not link.calls_in_flight:
+                link.channel.close()
+
+    async def _call(self, channel, address, service, body, timeout_s):
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await channel.__connect__()
         except (OSError, TimeoutError) as error:
             raise PeerUnreachable(f"{address}: {error!r}")
         request = CallRequest(service=service, body=json.dumps(body).encode())
+        metadata = {**self._metadata(), ACCEPT_HEADER: COMPRESSION}
         try:
             reply = await FleetStub(channel).Call(
-                request, timeout=timeout_s, metadata=self._metadata()
+                request, timeout=timeout_s, metadata=metadata
             )
+            return decode_answer(reply.body)
         except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
-            # The connection may be dead without a reset; the next call opens a new one.
-            self._channels_by_address.pop(address, channel).close()
             raise ResponseLost(f"{address}: {error!r}")
-        return json.loads(reply.body)
+        except ValueError as error:
+            raise ResponseLost(f"{address}: the answer cannot be decoded: {error}")
 
     def admits(self, metadata):
         """Return whether ``metadata`` has a valid proof of the fleet key."""
@@ -193,8 +214,11 @@
     async def Call(self, stream):  # noqa: N802
         self._authenticate(stream)
         request = await stream.recv_message()
-        body = await self._answer_call(request.service, json.loads(request.body))
-        await stream.send_message(CallReply(body=json.dumps(body).encode()))
+        answer = await self._answer_call(request.service, json.loads(request.body))
+        if not isinstance(answer, SharedAnswer):
+            answer = SharedAnswer(answer)
+        compressed = stream.metadata.get(ACCEPT_HEADER) == COMPRESSION
+        await stream.send_message(CallReply(body=answer.encode(compressed)))
 
     def _authenticate(self, stream):
         if not self._transport.admits(stream.metadata):
@@ -205,6 +229,17 @@
             raise GRPCError(Status.UNAUTHENTICATED, "not a daemon of this fleet")
 
 
+class _Link:
+    """A connection to another daemon and the number of calls that wait on it."""
+
+    __slots__ = ("channel", "calls_in_flight", "is_dropped")
+
+    def __init__(self, channel):
+        self.channel = channel
+        self.calls_in_flight = 0
+        self.is_dropped = False
+
+
 def _channel(address):
     host, _, port = address.rpartition(":")
     return Channel(host.strip("[]"), int(port))
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -4,6 +4,7 @@
 
 from logbook import Logger
 
+from pimentogap.calls import SharedAnswer
 from pimentogap.errors import (
     PeerUnreachable,
     ResponseLost,
@@ -29,6 +30,11 @@
 # unnoticed.
 RELAY_WAIT_S = 1.0
 RELAY_TIMEOUT_S = 1.6
+# A whole collection takes longer than changes, on a link that others use as well.
+RELAY_SNAPSHOT_TIMEOUT_S = 4.0
+# Daemons that ask within this time for the changes since the same revision get the
+# same answer, so that it is encoded once.
+SHARED_ANSWER_S = 0.3
 # A relay passes nothing on if its last answer from the store is older than this.
 FRESHNESS_LIMIT_S = 1.4
 # A relay that failed is not asked again for this long.
@@ -48,6 +54,8 @@
         "unavailable_since",
         "cooldown_until_by_relay",
         "reads_store",
+        "answers_by_since",
+        "answers_until",
     )
 
     def __init__(self, collection, apply):
@@ -58,6 +66,8 @@
         self.unavailable_since = None
         self.cooldown_until_by_relay = {}
         self.reads_store = False
+        self.answers_by_since = {}
+        self.answers_until = 0.0
 
 
 class RelayService:
@@ -173,8 +183,9 @@
 
     async def _read_relay(self, address, collection, revision):
         body = {"collection": collection, "since": revision}
+        timeout_s = RELAY_SNAPSHOT_TIMEOUT_S if revision is None else RELAY_TIMEOUT_S
         answer = await self._calls.call(
-            address, CHANGES_CALL, body, timeout_s=RELAY_TIMEOUT_S
+            address, CHANGES_CALL, body, timeout_s=timeout_s
         )
         try:
             update = load(answer)
@@ -218,7 +229,7 @@
             )
 
     async def _answer_changes(self, body):
-        """Return the changes since a revision to another daemon, as plain data.
+        """Return the changes since a revision, for another daemon.
 
         An empty answer makes the other daemon leave this one out for a while. It is
         given if this daemon has no fresh copy of the collection, and if it does not
@@ -243,7 +254,20 @@
                 log.debug("nothing to relay", collection=subscription.collection)
             if self._remaining_freshness_s() <= 0:
                 return {}
-        return dump(self._update_since(changes, since))
+        return self._shared_answer(subscription, since)
+
+    def _shared_answer(self, subscription, since):
+        """Return the changes since a revision as a `SharedAnswer`."""
+        now = self._kernel.clock.time()
+        if now >= subscription.answers_until:
+            subscription.answers_by_since.clear()
+            subscription.answers_until = now + SHARED_ANSWER_S
+        key = (since, subscription.changes.revision)
+        answer = subscription.answers_by_since.get(key)
+        if answer is None:
+            update = self._update_since(subscription.changes, since)
+            answer = subscription.answers_by_since[key] = SharedAnswer(dump(update))
+        return answer
 
     def _update_since(self, changes, since):
         known = changes.after(since)
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from pimentogap.calls import SharedAnswer, decode_answer
 from pimentogap.errors import (
     ConnectionFailed,
     PeerUnreachable,
@@ -129,7 +130,11 @@
         handler = self._call_handlers_by_address.get(address)
         if handler is None:
             raise PeerUnreachable(address)
-        return await handler(service, body)
+        answer = await handler(service, body)
+        if not isinstance(answer, SharedAnswer):
+            answer = SharedAnswer(answer)
+        # Encoded as on the wire, so that the caller gets a copy of its own.
+        return decode_answer(answer.encode(compressed=True))
 
 
 class _BufferReceiver:
