Follow the list of daemons, remove dead ones, and read the store in one place

Cause: each daemon read the list of daemons every 4 s + 0.2 s a daemon, so at 195 the view was 43 s old, and the objects of crashed daemons were never removed. Relays were the lowest ids of a zone, whatever their links. Change: relays ask the leader, all others ask a relay, and only the leader reads the store while it answers; the list of daemons travels the same way. Relays are the VMs with the largest capacity. A daemon tells the leader of its first request, since the limits on loads begin with it; until now a leader saw only its own (15 loads at once in the scenario, where 9 are allowed). The stand-in for calls between daemons no longer answers for a killed daemon. The scenario of a lost relay looks at a daemon that cannot become the leader, which reads the store by design; its bound is unchanged.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -136,6 +136,12 @@
     Then there were never more than 9 loads at once
     And there are at least 3 open groups of model large
 
+  Scenario: The leader limits loads once another daemon has admitted a request
+    Given a daemon other than the leader has answered a first request
+    When 4 empty replicas are added to each of 3 fabric domains
+    And 10 seconds pass
+    Then there were never more than 9 loads at once
+
   Scenario Outline: A model's share is counted in backend servers, not in groups
     Given an engine with models of <size large> and <size small> members and shares of <share large> and <share small>
     Then the targets for <n> domains of <size> backend servers are <large> large and <small> small groups
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -30,8 +30,9 @@
     And no replica was in two groups, and no incomplete group ran a request
 
   Scenario: A daemon whose relay is lost switches to another relay
-    When the relays of front-2 are front-0 and, in another zone, front-1
+    When 2 more daemons are started
+    And the relays of front-4 are front-0 and, in another zone, front-1
     And 7 seconds pass
     And front-0 is killed
     And 10 versions of the configuration are written, one every 0.4 seconds
-    Then front-2 has the last version, and opened no more than 6 watches since the kill
+    Then front-4 has the last version, and opened no more than 6 watches since the kill
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -45,6 +45,16 @@
     assert request.response.status == 200
 
 
+@given("a daemon other than the leader has answered a first request")
+def given_first_request_elsewhere(context):
+    fleet = context.simulation.fleet
+    leaders = context.simulation.call_in_loop(fleet.leader_names)
+    daemon = min(set(fleet.kernels_by_name) - set(leaders))
+    request = start_request(context, "GET", "/look/first", daemon=daemon)
+    context.simulation.wait(0.5)
+    assert request.response.status == 200
+
+
 @given("no configuration has been written")
 def given_no_configuration(context):
     async def start():
@@ -246,7 +256,15 @@
     )
 
 
-@when("the relays of front-2 are front-0 and, in another zone, front-1")
+@when("{count:d} more daemons are started")
+def when_daemons_started(context, count):
+    fleet = context.simulation.fleet
+    first = len(fleet.kernels_by_name)
+    for index in range(first, first + count):
+        context.simulation.run(fleet.start_daemon(f"front-{index}"))
+
+
+@when("the relays of front-4 are front-0 and, in another zone, front-1")
 def when_relays(context):
     value = {"zone": "z-b", "address": "front-1:27002"}
     context.simulation.call_in_loop(
@@ -257,7 +275,7 @@
 @when("front-0 is killed")
 def when_front_killed(context):
     context.simulation.run(context.simulation.fleet.kill_daemon("front-0"))
-    store = context.simulation.fleet.kernels_by_name["front-2"].get("store")
+    store = context.simulation.fleet.kernels_by_name["front-4"].get("store")
     context.watches_before = store.calls_by_kind.get("Watch", 0)
 
 
@@ -273,11 +291,11 @@
 
 
 @then(
-    "front-2 has the last version,"
+    "front-4 has the last version,"
     " and opened no more than {most:d} watches since the kill"
 )
 def then_watches(context, most):
-    kernel = context.simulation.fleet.kernels_by_name["front-2"]
+    kernel = context.simulation.fleet.kernels_by_name["front-4"]
     watches = kernel.get("store").calls_by_kind["Watch"] - context.watches_before
     context.simulation.wait(1.0)
     current = kernel.get("serving_configuration").current
--- a/pimentogap/alarms/_service.py
+++ b/pimentogap/alarms/_service.py
@@ -7,6 +7,7 @@
 log = Logger("alarms")
 
 SUSPECT_CALL = "suspect"
+FIRST_REQUEST_CALL = "first_request"
 CALL_TIMEOUT_S = 0.5
 # A backend server is reported at most once in this time.
 MIN_ALARM_INTERVAL_S = 0.5
@@ -37,6 +38,7 @@
         self._lease = kernel.get("lease")
         self._calls = kernel.get("calls")
         self._calls.register(SUSPECT_CALL, self._receive_alarm)
+        self._calls.register(FIRST_REQUEST_CALL, self._receive_first_request)
 
     async def stop(self):
         """Do nothing; the kernel cancels the tasks."""
@@ -53,18 +55,27 @@
         if self._lease.is_held():
             self._kernel.get("formation").suspect_backend(backend.id)
         elif self._lease.leader_address:
-            self._kernel.spawn(
-                self.name, self._send_alarm, backend.id, self._lease.leader_address
-            )
+            body = {"backend": backend.id}
+            self._kernel.spawn(self.name, self._call_leader, SUSPECT_CALL, body)
 
-    async def _send_alarm(self, backend_id, address):
+    def report_first_request(self):
+        """Tell the leader that callers send requests, which limits loads of weights."""
+        if self._lease.is_held():
+            self._kernel.get("formation").record_first_request()
+        elif self._lease.leader_address:
+            self._kernel.spawn(self.name, self._call_leader, FIRST_REQUEST_CALL, {})
+
+    async def _call_leader(self, name, body):
+        address = self._lease.leader_address
         try:
-            await self._calls.call(
-                address, SUSPECT_CALL, {"backend": backend_id}, timeout_s=CALL_TIMEOUT_S
-            )
+            await self._calls.call(address, name, body, timeout_s=CALL_TIMEOUT_S)
         except (PeerUnreachable, ResponseLost) as error:
             log.info("alarm not delivered", leader=address, error=str(error))
 
+    async def _receive_first_request(self, body):
+        self._kernel.get("formation").record_first_request()
+        return {}
+
     async def _receive_alarm(self, body):
         """Pass an alarm of another daemon on to formation if this daemon leads."""
         if self._lease.is_held():
--- a/pimentogap/directory/__init__.py
+++ b/pimentogap/directory/__init__.py
@@ -2,6 +2,7 @@
 
 from pimentogap.directory._configuration import ServingConfigurationService
 from pimentogap.directory._daemons import DaemonsService
+from pimentogap.directory._departures import DepartureService
 from pimentogap.directory._groups import (
     MODEL_SEPARATOR,
     GroupView,
@@ -13,6 +14,7 @@
 __all__ = [
     "MODEL_SEPARATOR",
     "DaemonsService",
+    "DepartureService",
     "DirectoryService",
     "GroupView",
     "ServingConfigurationService",
--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -10,63 +10,73 @@
 
 log = Logger("directory.daemons")
 
-COLLECTION = "daemons"
 # Assumed until the list is first read; an overestimate only makes each daemon's
 # share of the budgets smaller.
 ASSUMED_COUNT = 100
-LIST_INTERVAL_S = 4.0
-# Added for each daemon, so that the fleet's call rate stays level as it grows.
-LIST_INTERVAL_PER_DAEMON_S = 0.2
+RETRY_DELAY_S = 4.0
 WRITE_RETRY_LIMIT_S = 3.0
 DAEMONS_PER_RELAY = 20
+# A VM with these has capacity 1, enough for a relay; one with several times as much of
+# both is preferred.
+RELAY_CORES = 0.5
+RELAY_LINK_MBPS = 10.0
 
 
 class DaemonsService:
     """Counts the daemons that share the fleet's budgets and chooses the relays.
 
-    The object of a daemon that crashed is not deleted, so ``count`` is never too
-    low.
+    The list arrives through the relay service, as other collections do. The leader
+    deletes the objects of daemons that have ended without a stop, so ``count`` is at
+    most too high for a while, which makes each share of a budget smaller.
     """
 
     name = "daemons"
     requires = ("store",)
+    collection = "daemons"
     __slots__ = (
         "count",
+        "addresses_by_id",
         "_id",
+        "_value",
         "_zone",
-        "_address",
         "_kernel",
         "_store",
         "_version",
+        "_stored_by_id",
         "_relay_ids",
         "_candidate_ids",
         "_relay_addresses",
     )
 
     def __init__(self, settings):
-        """Identify this daemon by its `DaemonSettings`."""
+        """Identify this daemon by its `FrontSettings`."""
         self.count = ASSUMED_COUNT
+        self.addresses_by_id = {}
         self._id = settings.id
         self._zone = settings.availability_zone
-        self._address = settings.inner_address
+        self._value = {
+            "zone": settings.availability_zone,
+            "address": settings.inner_address,
+            "capacity": relay_capacity(settings.cores, settings.link_mbps),
+        }
         self._kernel = None
         self._store = None
         self._version = 0
+        self._stored_by_id = {}
         self._relay_ids = ()
         self._candidate_ids = ()
         self._relay_addresses = ()
 
     async def start(self, kernel):
-        """Register this daemon and read the list of daemons at intervals."""
+        """Register this daemon."""
         self._kernel = kernel
         self._store = kernel.get("store")
         kernel.spawn(self.name, self._register, on_error=RestartOnError())
-        kernel.spawn(self.name, self._poll_list, on_error=RestartOnError())
 
     async def stop(self):
         """Delete this daemon's object."""
         if self._version:
-            call = Delete(COLLECTION, self._id, self._version)
+            call = Delete(self.collection, self._id, self._version)
             outcome = await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S)
             log.info("daemon deregistration ended", outcome=type(outcome).__name__)
 
@@ -90,10 +100,14 @@
         """
         return () if self.is_relay() else self._relay_addresses
 
+    def version_of(self, id_):
+        """Return the version of a daemon's object, or 0 if it is not listed."""
+        stored = self._stored_by_id.get(id_)
+        return stored.version if stored is not None else 0
+
     async def _register(self):
-        value = {"zone": self._zone, "address": self._address}
         while not self._version:
-            call = Put(COLLECTION, self._id, value)
+            call = Put(self.collection, self._id, self._value)
             outcome = await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S)
             match outcome:
                 case Written(version):
@@ -103,46 +117,58 @@
 
     async def _read_own_version(self):
         try:
-            stored = await self._store.get(COLLECTION, self._id)
+            stored = await self._store.get(self.collection, self._id)
             self._version = stored.version if stored else 0
         except StoreError as error:
             log.info("daemon not listed yet", error=str(error))
-            await self._kernel.clock.sleep(LIST_INTERVAL_S)
-
-    async def _poll_list(self):
-        while True:
-            try:
-                objects, _ = await self._store.list(COLLECTION, stale=True)
-                self.update_from_list(objects)
-            except StoreError as error:
-                log.info("daemons not counted", error=str(error))
-            interval_s = LIST_INTERVAL_S + LIST_INTERVAL_PER_DAEMON_S * self.count
-            await self._kernel.clock.sleep(
-                interval_s * self._kernel.random.uniform(0.8, 1.2)
-            )
+            await self._kernel.clock.sleep(RETRY_DELAY_S)
+
+    def apply(self, update):
+        """Update the list from a `CollectionUpdate` of the daemons' objects."""
+        if update.is_snapshot:
+            self._stored_by_id = {stored.name: stored for stored in update.objects}
+        for change in update.changes:
+            if change.removed:
+                self._stored_by_id.pop(change.stored.name, None)
+                self._register_again_if_removed(change.stored)
+            else:
+                self._stored_by_id[change.stored.name] = change.stored
+        self.update_from_list(self._stored_by_id.values())
+
+    def _register_again_if_removed(self, stored):
+        """Write this daemon's object again if the leader took it for ended."""
+        if stored.name == self._id and stored.version == self._version:
+            log.warning("daemon was removed from the list and registers again")
+            self._version = 0
+            self._kernel.spawn(self.name, self._register, on_error=RestartOnError())
 
     def update_from_list(self, objects):
         """Update the count and the relays from the daemons' `Stored` ``objects``."""
-        self.count = max(1, len(objects))
-        addresses_by_zone = {}
-        for stored in objects:
-            value = stored.value
-            if isinstance(value, dict) and value.get("address"):
-                addresses = addresses_by_zone.setdefault(value.get("zone"), {})
-                addresses[stored.name] = value["address"]
-        own_addresses_by_id = addresses_by_zone.pop(self._zone, {})
-        relays = _lowest_ids(own_addresses_by_id)
+        values_by_id = {
+            stored.name: stored.value
+            for stored in objects
+            if isinstance(stored.value, dict) and stored.value.get("address")
+        }
+        self.count = max(1, len(values_by_id))
+        self.addresses_by_id = {
+            id_: value["address"] for id_, value in values_by_id.items()
+        }
+        values_by_zone = {}
+        for id_, value in values_by_id.items():
+            values_by_zone.setdefault(value.get("zone"), {})[id_] = value
+        own_values_by_id = values_by_zone.pop(self._zone, {})
+        relays = _strongest_ids(own_values_by_id)
         if relays != self._relay_ids:
             log.info("relays of the zone changed", count=self.count, relays=relays)
         self._relay_ids = relays
-        self._candidate_ids = _lowest_ids(own_addresses_by_id, extra=1)
+        self._candidate_ids = _strongest_ids(own_values_by_id, extra=1)
         others = [
-            addresses[id_]
-            for addresses in addresses_by_zone.values()
-            for id_ in _lowest_ids(addresses)
+            self.addresses_by_id[id_]
+            for values in values_by_zone.values()
+            for id_ in _strongest_ids(values)
         ]
         self._relay_addresses = (
-            *self._shuffled([own_addresses_by_id[id_] for id_ in relays]),
+            *self._shuffled([self.addresses_by_id[id_] for id_ in relays]),
             *self._shuffled(others),
         )
 
@@ -158,7 +184,20 @@
         return sorted(addresses, key=rank)
 
 
-def _lowest_ids(addresses_by_id, *, extra=0):
-    """Return the lowest ids: those of a zone's relays and of ``extra`` more daemons."""
-    ids = sorted(addresses_by_id)
+def relay_capacity(cores, link_mbps):
+    """Return a VM's capacity as a relay, by whichever of the two is scarcer."""
+    return int(min(cores / RELAY_CORES, link_mbps / RELAY_LINK_MBPS))
+
+
+def _strongest_ids(values_by_id, *, extra=0):
+    """Return the ids of a zone's relays and of ``extra`` more daemons.
+
+    Those with the largest capacity come first, then those with the lowest ids.
+    """
+
+    def rank(id_):
+        capacity = values_by_id[id_].get("capacity")
+        return (-capacity if isinstance(capacity, int) else 0, id_)
+
+    ids = sorted(values_by_id, key=rank)
     return tuple(ids[: -(-len(ids) // DAEMONS_PER_RELAY) + extra])
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -43,8 +43,8 @@
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
 LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
 # At the first start of the fleet, the leader does not limit loads for this long after
-# its own start, or until it has admitted a request: loads before the fleet's first
-# request take a tenth of the time and do not count against the platform's limits.
+# its own start, or until a daemon has admitted a request: loads before the first one
+# take a tenth of the time and do not count against the platform's limits.
 UNLIMITED_LOADS_S = 9.0
 DISSOLVING_WAIT_S = 1.0
 
@@ -81,6 +81,7 @@
         "_demand",
         "_staging",
         "_started_at",
+        "_has_traffic",
         "_list_size",
         "_list_size_since",
     )
@@ -100,6 +101,7 @@
         self._limiter = LoadLimiter(settings.load_window_s)
         self._last_model_by_id = {}
         self._started_at = 0.0
+        self._has_traffic = False
         self._list_size = 0
         self._list_size_since = 0.0
         self._term = 0
@@ -136,6 +138,10 @@
         if self._losses is not None:
             self._losses.suspect_head(backend_id)
 
+    def record_first_request(self):
+        """Limit loads of weights from now on, since callers send requests."""
+        self._has_traffic = True
+
     async def _run(self):
         clock = self._kernel.clock
         while True:
@@ -441,11 +447,10 @@
 
     def _loads_are_unlimited(self):
         age_s = self._kernel.clock.time() - self._started_at
-        admitted_count = self._kernel.get("forwarding").admitted_count
         return (
             self._settings.first_start
             and age_s < UNLIMITED_LOADS_S
-            and not admitted_count
+            and not self._has_traffic
         )
 
     def _stage_weights_on_spares(self, service, free, groups):
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -91,7 +91,7 @@
         "_stops_at",
         "_refuse_long_at",
         "in_flight",
-        "admitted_count",
+        "_has_admitted",
     )
 
     def __init__(self, settings, pool, codec):
@@ -116,7 +116,7 @@
         self._stops_at = math.inf
         self._refuse_long_at = math.inf
         self.in_flight = 0
-        self.admitted_count = 0
+        self._has_admitted = False
 
     async def start(self, kernel):
         """Look up the services that requests need."""
@@ -166,7 +166,7 @@
         return now >= self._refuse_long_at and now + route.timeout_s > self._stops_at
 
     async def _serve_admitted(self, request, admitted):
-        self.admitted_count += 1
+        self._report_first_request()
         route = admitted.route
         now = self._kernel.clock.time()
         self._budget.record_request(admitted.service, now)
@@ -183,6 +183,13 @@
             raise
         self._respond(request, admitted, attempts, outcome)
 
+    def _report_first_request(self):
+        if not self._has_admitted:
+            self._has_admitted = True
+            alarms = self._kernel.find("alarms")
+            if alarms is not None:
+                alarms.report_first_request()
+
     async def _try_backends(self, request, admitted, attempts, deadline):
         outcome = None
         while True:
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -27,6 +27,7 @@
 
 def _decode(data):
     bounds = data.get("bounds") or {}
+    limits = data.get("limits") or {}
     ports = data.get("innerPorts") or [0, 0]
     listen = data["listenAddrs"]
     return FrontSettings(
@@ -43,4 +44,7 @@
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         retry_slack=float(bounds.get("retryBudgetSlack", 0)),
         load_window_s=float(bounds.get("ceilingWindowS", 5)),
+        # The share of a core that runs as fast as this many cores.
+        cores=float(limits.get("cpuShare") or 1) * float(limits.get("cpuCores") or 1),
+        link_mbps=float(limits.get("linkMbps") or 1000),
     )
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -13,6 +13,7 @@
 from pimentogap.calls import CallService
 from pimentogap.directory import (
     DaemonsService,
+    DepartureService,
     DirectoryService,
     ServingConfigurationService,
 )
@@ -124,6 +125,7 @@
         PlacementService(),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
+        DepartureService(settings.id),
         FormationService(settings, engines),
         AlarmService(),
     ):
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -1,6 +1,7 @@
 """The service that keeps collections up to date from the store or from a relay."""
 
 import asyncio
+import math
 
 from logbook import Logger
 
@@ -23,13 +24,17 @@
 # Longest wait of a watch; it bounds how long a watch that the store accepted but
 # lost goes unnoticed.
 WATCH_WAIT_S = 1.5
+# A change of the daemons that is noticed late does no harm.
+DAEMONS_WATCH_WAIT_S = 10.0
 # After a failure a watch hardly waits: the first one that the store answers brings
 # the daemon up to date, well within the 3 s that the platform allows.
 CATCH_UP_WAIT_S = 0.05
 # Longest wait of a relay for a change; it bounds how long a silent relay goes
-# unnoticed.
+# unnoticed. Relays ask the leader more often, since daemons wait for them in turn.
 RELAY_WAIT_S = 1.0
 RELAY_TIMEOUT_S = 1.6
+LEADER_WAIT_S = 0.5
+LEADER_TIMEOUT_S = 0.9
 # A whole collection takes longer than changes, on a link that others use as well.
 RELAY_SNAPSHOT_TIMEOUT_S = 4.0
 # Daemons that ask within this time for the changes since the same revision get the
@@ -54,18 +59,22 @@
         "unavailable_since",
         "cooldown_until_by_relay",
         "reads_store",
+        "confirmed_at",
+        "watch_wait_s",
         "answers_by_since",
         "answers_until",
     )
 
-    def __init__(self, collection, apply):
+    def __init__(self, collection, apply, watch_wait_s):
         self.collection = collection
+        self.watch_wait_s = watch_wait_s
         self.apply = apply
         self.changes = ChangeLog()
         self.changed = asyncio.Event()
         self.unavailable_since = None
         self.cooldown_until_by_relay = {}
         self.reads_store = False
+        self.confirmed_at = -math.inf
         self.answers_by_since = {}
         self.answers_until = 0.0
 
@@ -73,11 +82,13 @@
 class RelayService:
     """Keeps collections of the store up to date for the daemon's other services.
 
-    A few daemons of each availability zone, the relays, read the store, and so
-    does the leader; every other daemon asks a relay. When that relay fails, the
-    daemon reads the store once, hardly waiting, and then asks the next relay.
-    Revisions are the store's whatever the source, and an update older than the
-    daemon's copy is ignored.
+    The leader reads the store. A few daemons of each availability zone, the relays,
+    ask the leader, and every other daemon asks a relay. When the one that it asks
+    fails, a daemon reads the store; a relay goes on with that for a while, any other
+    daemon reads once, hardly waiting, and then asks the next relay. Revisions are the
+    store's whatever the source, and an update older than the daemon's copy is
+    ignored. Only a daemon that reads the store itself answers a relay, so no two wait
+    for each other.
     """
 
     name = "relay"
@@ -104,13 +115,21 @@
         self._calls = kernel.get("calls")
         self._daemons = kernel.get("daemons")
         self._calls.register(CHANGES_CALL, self._answer_changes)
+        self.follow(
+            self._daemons.collection,
+            self._daemons.apply,
+            watch_wait_s=DAEMONS_WATCH_WAIT_S,
+        )
 
     async def stop(self):
         """Do nothing; the kernel cancels the tasks."""
 
-    def follow(self, collection, apply):
-        """Call ``apply`` with each `CollectionUpdate` of ``collection`` from now on."""
-        subscription = Subscription(collection, apply)
+    def follow(self, collection, apply, *, watch_wait_s=WATCH_WAIT_S):
+        """Call ``apply`` with each `CollectionUpdate` of ``collection`` from now on.
+
+        :param watch_wait_s: the longest wait of a watch, in seconds.
+        """
+        subscription = Subscription(collection, apply, watch_wait_s)
         self._subscriptions_by_collection[collection] = subscription
         self._kernel.spawn(
             self.name, self._follow, subscription, on_error=RestartOnError()
@@ -124,6 +143,7 @@
             try:
                 update = await self._read(subscription, revision)
                 revision = update.revision
+                subscription.confirmed_at = clock.time()
                 self._apply(subscription, update)
                 delay_s = RETRY_DELAY_S
                 await clock.sleep(
@@ -148,13 +168,11 @@
         may_wait = subscription.unavailable_since is None
         if address is not None:
             try:
-                return await self._read_relay(
-                    address, subscription.collection, revision
-                )
+                return await self._read_relay(address, subscription, revision)
             except (PeerUnreachable, ResponseLost) as error:
                 self._drop_relay(subscription, address, revision, error)
                 may_wait = False
-        wait_s = WATCH_WAIT_S if may_wait else CATCH_UP_WAIT_S
+        wait_s = subscription.watch_wait_s if may_wait else CATCH_UP_WAIT_S
         return await self._read_store(subscription.collection, revision, wait_s)
 
     def _drop_relay(self, subscription, address, revision, error):
@@ -168,6 +186,9 @@
         )
         cooldown_until = self._kernel.clock.time() + RELAY_COOLDOWN_S
         subscription.cooldown_until_by_relay[address] = cooldown_until
+        departures = self._kernel.find("departures")
+        if departures is not None and isinstance(error, PeerUnreachable):
+            departures.suspect(address)
         subscription.reads_store = True
 
     async def _read_store(self, collection, revision, wait_s):
@@ -181,9 +202,18 @@
             False, page.items, (), page.revision, self._since_outage_s()
         )
 
-    async def _read_relay(self, address, collection, revision):
-        body = {"collection": collection, "since": revision}
-        timeout_s = RELAY_SNAPSHOT_TIMEOUT_S if revision is None else RELAY_TIMEOUT_S
+    async def _read_relay(self, address, subscription, revision):
+        is_relay = self._daemons.is_relay()
+        body = {
+            "collection": subscription.collection,
+            "since": revision,
+            "from_relay": is_relay,
+            "wait_s": LEADER_WAIT_S if is_relay else RELAY_WAIT_S,
+        }
+        if revision is None:
+            timeout_s = RELAY_SNAPSHOT_TIMEOUT_S
+        else:
+            timeout_s = LEADER_TIMEOUT_S if is_relay else RELAY_TIMEOUT_S
         answer = await self._calls.call(
             address, CHANGES_CALL, body, timeout_s=timeout_s
         )
@@ -232,30 +262,35 @@
         """Return the changes since a revision, for another daemon.
 
         An empty answer makes the other daemon leave this one out for a while. It is
-        given if this daemon has no fresh copy of the collection, and if it does not
-        read the collection from the store itself: two daemons that each used the
-        other as their relay would wait for each other.
+        given if this daemon has no fresh copy of the collection, and to a relay if
+        this daemon does not read the collection from the store itself.
         """
         subscription = self._subscriptions_by_collection.get(body.get("collection"))
         if subscription is None or subscription.unavailable_since is not None:
             return {}
-        if not subscription.reads_store or self._remaining_freshness_s() <= 0:
+        if not self._may_answer(subscription, from_relay=bool(body.get("from_relay"))):
             return {}
+        remaining_s = self._remaining_freshness_s(subscription)
         changes = subscription.changes
-        if not changes.revision:
+        if remaining_s <= 0 or not changes.revision:
             return {}
         since = body.get("since")
         if since is not None and not changes.after(since):
-            wait_s = min(RELAY_WAIT_S, self._remaining_freshness_s())
+            wait_s = min(body.get("wait_s", RELAY_WAIT_S), RELAY_WAIT_S, remaining_s)
             try:
                 async with self._kernel.clock.timeout(wait_s):
                     await subscription.changed.wait()
             except TimeoutError:
                 log.debug("nothing to relay", collection=subscription.collection)
-            if self._remaining_freshness_s() <= 0:
+            if self._remaining_freshness_s(subscription) <= 0:
                 return {}
         return self._shared_answer(subscription, since)
 
+    def _may_answer(self, subscription, *, from_relay):
+        if subscription.reads_store:
+            return True
+        return self._daemons.is_relay() and not from_relay
+
     def _shared_answer(self, subscription, since):
         """Return the changes since a revision as a `SharedAnswer`."""
         now = self._kernel.clock.time()
@@ -279,16 +314,16 @@
             False, known, (), changes.revision, self._since_outage_s()
         )
 
-    def _remaining_freshness_s(self):
+    def _remaining_freshness_s(self, subscription):
         """Return for how many seconds this daemon's data still counts as fresh.
 
         A pending watch does not show whether the store is out of reach; the
-        reads of the lease do, which a relay makes every second.
+        reads of the lease do, which the leader and candidates make every second.
         """
-        answered_at = self._store.last_answer_at
-        if answered_at is None:
-            return 0.0
-        return answered_at + FRESHNESS_LIMIT_S - self._kernel.clock.time()
+        confirmed_at = subscription.confirmed_at
+        if subscription.reads_store:
+            confirmed_at = max(confirmed_at, self._store.last_answer_at)
+        return confirmed_at + FRESHNESS_LIMIT_S - self._kernel.clock.time()
 
     def _since_outage_s(self):
         return self._kernel.clock.time() - self._store.outage_ended_at
@@ -298,12 +333,21 @@
         return lease is not None and lease.is_held()
 
     def _choose_relay(self, subscription):
-        """Return the address of the relay to ask, or ``None`` to read the store."""
+        """Return the address of the daemon to ask, or ``None`` to read the store."""
         if self._is_leader():
             return None
         now = self._kernel.clock.time()
         cooldown_until_by_relay = subscription.cooldown_until_by_relay
-        for address in self._daemons.relay_addresses():
+        for address in self._addresses_to_ask():
             if now >= cooldown_until_by_relay.get(address, 0.0):
                 return address
         return None
+
+    def _addresses_to_ask(self):
+        if not self._daemons.is_relay():
+            return self._daemons.relay_addresses()
+        lease = self._kernel.find("lease")
+        leader_address = lease.leader_address if lease is not None else ""
+        if leader_address in ("", self._calls.address):
+            return ()
+        return (leader_address,)
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -11,7 +11,8 @@
     the time from SIGTERM to SIGKILL. For each service, all daemons together may
     make ``retry_ratio`` second attempts for each request of the last
     ``retry_window_s``, and ``retry_slack`` besides. ``load_window_s`` is the window
-    over which the rate of weight loads is limited.
+    over which the rate of weight loads is limited. ``cores`` and ``link_mbps`` are
+    what the VM gives the daemon.
     """
 
     id: str
@@ -28,6 +29,8 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     load_window_s: float = 5.0
+    cores: float = 1.0
+    link_mbps: float = 1000.0
 
     @property
     def metrics_address(self):
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -93,7 +93,7 @@
         self._kernel = None
         self._breaker = None
         self.calls_by_kind = {}
-        self.last_answer_at = None
+        self.last_answer_at = -math.inf
         self._vm_list = VmList("", ())
         self._failing_since = None
         self.outage_ended_at = -math.inf
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -111,6 +111,7 @@
         "replicas_by_id",
         "plain_replicas_by_id",
         "kernels_by_name",
+        "cut_calls",
         "_call_handlers_by_address",
         "_seed",
         "_request_count",
@@ -123,6 +124,7 @@
         self.replicas_by_id = {}
         self.plain_replicas_by_id = {}
         self.kernels_by_name = {}
+        self.cut_calls = set()
         self._call_handlers_by_address = {}
         self._seed = seed
         self._request_count = 0
@@ -187,7 +189,9 @@
             engines=HttpEngines(client),
             pool=client,
             codec=PlatformHeaders(),
-            peer_transport=LocalCallTransport(self._call_handlers_by_address),
+            peer_transport=LocalCallTransport(
+                self._call_handlers_by_address, self.cut_calls
+            ),
             clock=Clock(boot_time=asyncio.get_running_loop().time),
             seed=self._seed,
         )
@@ -196,7 +200,9 @@
 
     async def kill_daemon(self, name):
         """End a daemon at once, without a graceful stop."""
-        await self.kernels_by_name.pop(name).abort()
+        kernel = self.kernels_by_name.pop(name)
+        self._call_handlers_by_address.pop(kernel.get("calls").address, None)
+        await kernel.abort()
 
     async def stop_daemon(self, name):
         """Stop a daemon gracefully."""
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -106,11 +106,15 @@
 class LocalCallTransport:
     """Calls between daemons of one process, with the interface of `GrpcTransport`."""
 
-    __slots__ = ("_call_handlers_by_address", "_own_address")
+    __slots__ = ("_call_handlers_by_address", "_cut_calls", "_own_address")
 
-    def __init__(self, call_handlers_by_address):
-        """Create a transport; all daemons share ``call_handlers_by_address``."""
+    def __init__(self, call_handlers_by_address, cut_calls):
+        """Create a transport; all daemons share both arguments.
+
+        :param cut_calls: pairs of a caller's and a callee's address whose calls fail.
+        """
         self._call_handlers_by_address = call_handlers_by_address
+        self._cut_calls = cut_calls
         self._own_address = None
 
     async def listen(self, address, accept_session, answer_call):
@@ -128,7 +132,7 @@
         :raises PeerUnreachable: if no daemon listens on ``address``.
         """
         handler = self._call_handlers_by_address.get(address)
-        if handler is None:
+        if handler is None or (self._own_address, address) in self._cut_calls:
             raise PeerUnreachable(address)
         answer = await handler(service, body)
         if not isinstance(answer, SharedAnswer):
