Log changes of the backend list in one line on daemons that do not lead

Change: the leader logs each change; all others log one line with the revision, counts and the first ids.

--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -1,6 +1,7 @@
 """The service that lists the backend servers and the model groups they form."""
 
 import asyncio
+from collections import Counter
 
 from logbook import Logger
 
@@ -21,6 +22,10 @@
 MASS_REMOVAL_SHARE = 0.34
 
 
+# Ids in the log line of a change that the leader logs in full.
+MAX_LOGGED_IDS = 5
+
+
 class DirectoryService:
     """Lists the backend servers of each service and those that may get requests.
 
@@ -126,7 +131,7 @@
             ):
                 self.absent_by_id[id_] = backend
                 self._kernel.spawn(self.name, self._forget_absent, backend)
-                log.info(
+                log.debug(
                     "member absent", backend=id_, group=membership.group, rev=revision
                 )
 
@@ -186,35 +191,57 @@
         after[stored.name] = backend
 
     def _log_changes(self, before, after, revision):
+        """Log what changed: in one line, or, at the leader, one for each change.
+
+        A list that is read for the first time is one line at the leader, too.
+        """
+        changes = list(self._changes_between(before, after))
+        if not changes:
+            return
+        lease = self._kernel.find("lease")
+        if before and lease is not None and lease.is_held():
+            for event, fields in changes:
+                log.info(event, **fields, rev=revision)
+            return
+        counts = Counter(event for event, _ in changes)
+        log.info(
+            "backends changed",
+            rev=revision,
+            known=len(after),
+            counts=dict(counts),
+            first=[fields["backend"] for _, fields in changes[:MAX_LOGGED_IDS]],
+        )
+
+    def _changes_between(self, before, after):
+        """Yield the event and the fields of the log line of each change."""
         for id_ in before.keys() - after.keys():
-            log.info("backend gone", backend=id_, rev=revision)
+            yield "backend gone", {"backend": id_}
         for id_, backend in after.items():
             known = before.get(id_)
+            if known is backend:
+                continue
             if known is None or known.incarnation != backend.incarnation:
-                log.info(
+                yield (
                     "backend listed",
-                    backend=id_,
-                    service=backend.service,
-                    domain=backend.domain,
-                    rev=revision,
+                    {
+                        "backend": id_,
+                        "service": backend.service,
+                        "domain": backend.domain,
+                    },
                 )
             elif known.state is not backend.state:
-                log.info(
-                    "backend state", backend=id_, state=backend.state, rev=revision
-                )
+                yield "backend state", {"backend": id_, "state": backend.state}
             elif known.membership != backend.membership:
-                self._log_membership(backend, revision)
-
-    def _log_membership(self, backend, revision):
-        membership = backend.membership
-        log.info(
-            "membership",
-            backend=backend.id,
-            group=membership.group if membership else None,
-            rank=membership.rank if membership else None,
-            state=membership.state if membership else None,
-            rev=revision,
-        )
+                membership = backend.membership
+                yield (
+                    "membership",
+                    {
+                        "backend": id_,
+                        "group": membership.group if membership else None,
+                        "rank": membership.rank if membership else None,
+                        "state": membership.state if membership else None,
+                    },
+                )
 
     def _rebuild_index(self):
         configuration = self._configuration.current
