Count events as progress of a stream, and bound the answer to another request

Cause: any byte from a backend server counted as progress. A stalled stream that sent a byte now and then was never resumed elsewhere and held its caller until the deadline. The body of an answer to another request had no limit: it was read until the deadline. Both were found by looking for what happened to operators of similar systems. Ruled out by tests: status lines, headers, informational answers, bodies without length, chunk sizes, events and trailers without end were bounded already (tornado's limits and ours): lost within 3 s, less than 8 MB, other requests served meanwhile. Change: progress is the head, a complete event or 512 bytes; an answer to another request is given up after 1 MB.

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -60,3 +60,16 @@
       | stream  | 3.0 | 503    |
       | look-up | 3.0 | 200    |
       | look-up | 6.2 | 503    |
+
+  Scenario: A stream that goes on with parts of an event, but no event, continues on another group
+    Given one head of model large trickles after 3 events
+    When 3 streams of model large are requested
+    And 7 seconds pass
+    Then every stream is complete, with each event exactly once
+
+  Scenario: A slow but sound stream is not cut
+    Given every replica of the model service is 6 times slower
+    When 3 streams of model large are requested
+    And 7.9 seconds pass
+    Then every stream is complete, with each event exactly once
+    And no stream had more than 2 attempts
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -521,6 +521,25 @@
         assert max(pauses) <= seconds, (stream.id, max(pauses))
 
 
+@given("one head of model {model} trickles after {count:d} events")
+def given_trickling(context, model, count):
+    head = context.simulation.fleet.open_group_heads(model)[0]
+    head.trickles_after = count
+
+
+@given("every replica of the model service is {factor:g} times slower")
+def given_slow(context, factor):
+    for replica in context.simulation.fleet.replicas_by_id.values():
+        replica.slow_factor = factor
+
+
+@then("no stream had more than {count:d} attempts")
+def then_few_attempts(context, count):
+    for stream in context.streams:
+        runs = context.simulation.fleet.records.runs_of(stream.id)
+        assert len(runs) <= count, (stream.id, runs)
+
+
 @then("no booking ran twice")
 def then_no_booking_twice(context):
     records = context.simulation.fleet.records
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -6,6 +6,9 @@
 # A plain answer up to this size is buffered until it is complete, so that after a
 # broken one the request can still be repeated or refused.
 MAX_BUFFERED_BYTES = 2**20
+# Fewer bytes than this are no progress unless they complete an event: a backend server
+# that sends a byte now and then has stalled.
+MIN_PROGRESS_BYTES = 512
 
 
 class AnswerReceiver:
@@ -13,7 +16,8 @@
 
     A plain answer is buffered until it is complete or exceeds
     `MAX_BUFFERED_BYTES`. The caller's answer to a stream begins with the first
-    complete event, and later attempts continue the same answer.
+    complete event, and later attempts continue the same answer. ``progress_at`` is
+    when the head, an event or `MIN_PROGRESS_BYTES` last arrived.
     """
 
     __slots__ = (
@@ -23,6 +27,7 @@
         "_headers",
         "_buffered_chunks",
         "_buffered_bytes",
+        "_bytes_since_progress",
         "_is_passing_through",
         "_codec",
         "_event_filter",
@@ -44,6 +49,7 @@
         self._headers = None
         self._buffered_chunks = []
         self._buffered_bytes = 0
+        self._bytes_since_progress = 0
         self._is_passing_through = False
         self._codec = codec
         self._event_filter = event_filter
@@ -62,24 +68,28 @@
         """Record the answer's status and headers, and the load that they report."""
         self.answer = self._codec.decode_answer(status, headers)
         self._headers = headers
-        now = self._clock.time()
-        self.progress_at = now
-        self._load.record_progress(now)
+        self._record_progress()
         if self.answer.load is not None:
-            self._load.record_report(self.answer.load, now)
+            self._load.record_report(self.answer.load, self.progress_at)
 
     async def data_received(self, chunk):
         """Pass on the complete part of ``chunk`` and buffer the remainder."""
-        now = self._clock.time()
-        self.progress_at = now
+        self._bytes_since_progress += len(chunk)
+        if self._bytes_since_progress >= MIN_PROGRESS_BYTES:
+            self._record_progress()
         if self._event_filter is not None and self._is_valid_success():
-            self._load.record_progress(now)
             await self._pass_events(chunk)
         elif self._is_passing_through:
             await self._request.response.write(chunk)
         else:
             await self._buffer_chunk(chunk)
 
+    def _record_progress(self):
+        now = self._clock.time()
+        self.progress_at = now
+        self._bytes_since_progress = 0
+        self._load.record_progress(now)
+
     def conclude(self):
         """Return the outcome of an answer that ended normally."""
         if self._is_valid_success() and self._event_filter is not None:
@@ -101,6 +111,7 @@
         data = self._event_filter.feed(chunk)
         if not data:
             return
+        self._record_progress()
         if self.first_event_at is None:
             self.first_event_at = self.progress_at
         if not self._is_passing_through:
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -18,6 +18,7 @@
 MAX_IDLE_PER_BACKEND = 24
 # Answers to earlier requests that may precede the expected one on a connection.
 MAX_STRAY_ANSWERS = 2
+MAX_STRAY_BYTES = 2**20
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_IDLE_LIMIT_S = 4.0
 BODY_METHODS = ("POST", "PUT", "PATCH")
@@ -34,6 +35,7 @@
         "finished",
         "idle_limit_s",
         "error",
+        "_stray_bytes",
     )
 
     def __init__(self, receiver, stream):
@@ -44,6 +46,7 @@
         self.finished = False
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.error = None
+        self._stray_bytes = 0
 
     async def headers_received(self, start_line, headers):
         self.began = True
@@ -58,7 +61,12 @@
             self._fail(error)
 
     async def data_received(self, chunk):
-        if self.error is not None or not self.owned:
+        if self.error is not None:
+            return
+        if not self.owned:
+            self._stray_bytes += len(chunk)
+            if self._stray_bytes > MAX_STRAY_BYTES:
+                self._fail(ResponseLost("the answer to another request has no end"))
             return
         try:
             await self.receiver.data_received(chunk)
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -13,6 +13,7 @@
 EVENT_TOKENS = 5
 PUBLISH_LAG_S = 0.05
 # Longer than any client waits for an answer.
+TRICKLE_INTERVAL_S = 0.1
 SILENCE_S = 3600.0
 
 
@@ -38,7 +39,8 @@
     share of orders, from 0 to 1, that are applied some seconds late and never answered.
     ``order_delays_s`` maps an operation to the seconds by which its orders are
     delayed. ``slow_factor`` multiplies the time that any work of the replica's group
-    takes.
+    takes. After ``trickles_after`` events, if that is set, a stream goes on with a
+    part of an event each `TRICKLE_INTERVAL_S` and never completes it.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "late_order_share",
         "order_delays_s",
         "slow_factor",
+        "trickles_after",
         "running",
         "slots",
         "_store",
@@ -100,6 +103,7 @@
         self.late_order_share = 0.0
         self.order_delays_s = {}
         self.slow_factor = 1.0
+        self.trickles_after = None
         self.slots = engine["slots"]
         self.staged = []
         self._store = store
@@ -389,10 +393,18 @@
         )
         events = -(-int(output) // EVENT_TOKENS)
         for number in range(first, events + 1):
+            if self.trickles_after is not None and number > self.trickles_after:
+                await self._trickle(reply)
             step_s = self._engine["step_ms"] / 1000 * EVENT_TOKENS
             await self._simulate_work(place, step_s)
             await reply.data(f"id: {number}\ndata: {attempt_id}/{number}\n\n".encode())
 
+    async def _trickle(self, reply):
+        """Send parts of an event that never ends, until the caller closes."""
+        while True:
+            await asyncio.sleep(TRICKLE_INTERVAL_S)
+            await reply.data(b":")
+
     async def _simulate_work(self, place, seconds):
         """Wait for ``seconds``, scaled by the group's slowness and the replica's load.
 
