Ask refused callers to return when a group is likely to be open again

Cause: a refused caller was told to return after 0.5 or 0.6 s, whatever it had left. Change: callers return at 0.19 to 0.32 of their time left, at most 2.5 s, spread; a backend server's own time goes first. The decision is a module without a network. Result: its test plays an outage of 1.4 to 2.5 s for callers with 6 and 8 s left: 70 to 95 % of them find the group open; with 0.5 s (before) 20 to 36 % would, by the same arrivals.

--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -19,6 +19,7 @@
     TimedOut,
 )
 from pimentogap.forwarding._receiver import AnswerReceiver
+from pimentogap.forwarding._returns import return_delay_s
 from pimentogap.forwarding._routes import (
     STATUS_BY_REASON,
     Admitted,
@@ -59,8 +60,6 @@
 IDEMPOTENT_STALL_FACTOR = 2.0
 # Attempts allowed beyond the route's maximum, as long as they certainly did not run.
 EXTRA_ATTEMPTS = 2
-RETRY_AFTER_MISSING_S = 0.5
-RETRY_AFTER_FULL_S = 0.6
 # Another daemon can serve the request at once.
 RETRY_AFTER_STOPPING_S = 0.05
 # Callers read these statuses as "not run", so the failure of a request that ran is
@@ -170,8 +169,7 @@
         route = admitted.route
         now = self._kernel.clock.time()
         self._budget.record_request(admitted.service, now)
-        timeout_s = min(route.timeout_s, request.needs.deadline_s or DEFAULT_DEADLINE_S)
-        deadline = request.received_at + timeout_s
+        deadline = self._deadline(request, admitted)
         event_filter = (
             EventFilter(request.needs.last_event_id) if is_stream(route) else None
         )
@@ -183,6 +181,10 @@
             raise
         self._respond(request, admitted, attempts, outcome)
 
+    def _deadline(self, request, admitted):
+        deadline_s = request.needs.deadline_s or DEFAULT_DEADLINE_S
+        return request.received_at + min(admitted.route.timeout_s, deadline_s)
+
     def _report_first_request(self):
         if not self._has_admitted:
             self._has_admitted = True
@@ -415,20 +417,13 @@
                 response.finish()
                 self._log(request, admitted, attempts, "backend_failed", status)
             case Full():
-                self._refuse_unserved(
-                    request, admitted, attempts, "full", RETRY_AFTER_FULL_S
-                )
+                self._refuse_unserved(request, admitted, attempts, "full")
             case Missing():
-                self._refuse_unserved(
-                    request, admitted, attempts, "missing", RETRY_AFTER_MISSING_S
-                )
+                self._refuse_unserved(request, admitted, attempts, "missing")
             case NotRun(retry_after_s=after_s):
-                after_s = after_s or RETRY_AFTER_FULL_S
                 self._refuse_unserved(request, admitted, attempts, "not_run", after_s)
             case NotSent():
-                self._refuse_unserved(
-                    request, admitted, attempts, "not_sent", RETRY_AFTER_MISSING_S
-                )
+                self._refuse_unserved(request, admitted, attempts, "not_sent")
             case TimedOut():
                 status = 504 if attempts.possible_runs else 503
                 self._refuse(request, admitted, status, "timed_out", attempts=attempts)
@@ -437,9 +432,14 @@
                     request, admitted, 502, outcome_name(outcome), attempts=attempts
                 )
 
-    def _refuse_unserved(self, request, admitted, attempts, reason, after_s):
-        """Refuse with 503, or with 502 if an attempt may have run."""
+    def _refuse_unserved(self, request, admitted, attempts, reason, after_s=None):
+        """Refuse with 503, or with 502 if an attempt may have run.
+
+        :param after_s: the backend server's own time to come back, if it gave one.
+        """
         status = 502 if attempts.possible_runs else 503
+        remaining_s = self._deadline(request, admitted) - self._kernel.clock.time()
+        after_s = after_s or return_delay_s(remaining_s, self._kernel.random)
         self._refuse(
             request, admitted, status, reason, attempts=attempts, retry_after_s=after_s
         )
