Plan groups without loads first, and keep members for the rest of their group

The planner took the model with the largest need first and filled its group with any free server: five cold members taken from the other model, whose groups then had to load as well. Just after a change of leader it formed groups of 6 with 5 and 6 loads out of the members of a large group that lacked one. Change: of the models below their target, a group that needs no load goes first; cold members are hosts without weights before those with other weights; two thirds or more of a group that has just lost a member wait 15 s for the rest before another model may load over them.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -167,6 +167,27 @@
       | 6          | 1          | 5          | 5          | 5      | 8    | large       |
       | 1          | 1          | 4          | 4          | 5      | 6    | large small |
 
+  Scenario Outline: Groups without loads are planned before others (many servers replaced at once)
+    Given an engine with models of 4 and 2 members and shares of 0.67 and 0.33
+    When the backend servers "<free>" of each domain have just become free, with weights of large, small or nothing (-)
+    Then the plan with its loads is "<plan>"
+
+    Examples:
+      | free            | plan            |
+      | LLLss           | small:0         |
+      | LLLss-          | small:0 large:1 |
+      | LLLs            | large:1         |
+      | LLL-s           | large:1         |
+      | LLLLss          | large:0 small:0 |
+      | LLLss- LLLL     | large:0 small:0 large:1 |
+      | ----            | large:4         |
+      | LL---- ssss     | small:0 small:0 large:2 small:2 |
+
+  Scenario: Servers that have waited long for the rest of a group are used by another model
+    Given an engine with models of 4 and 2 members and shares of 0.67 and 0.33
+    When the backend servers "LLLss" of each domain have long been free, with weights of large, small or nothing (-)
+    Then the plan with its loads is "small:0 small:2"
+
   Scenario Outline: A group that needs more loads than the limits allow is formed alone
     Given a weight store that supports 6 loads at once and 4 new loads a second
     And a daemon that has been leader for <leading> seconds, while <loading> loads are in progress
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -83,6 +83,45 @@
     assert names == plan, names
 
 
+@when(
+    'the backend servers "{free}" of each domain {have_been} free,'
+    " with weights of large, small or nothing (-)"
+)
+def when_planned_from(context, free, have_been):
+    staged_by_letter = {"L": ("large",), "s": ("small",), "-": ()}
+    backends = [
+        Backend(
+            id=f"i-{number}-{index}",
+            service="llm",
+            address=f"i-{number}-{index}:80",
+            availability_zone="z-a",
+            state=BackendState.READY,
+            domain=f"d{number}",
+            staged=staged_by_letter[letter],
+        )
+        for number, letters in enumerate(free.split())
+        for index, letter in enumerate(letters)
+    ]
+    context.plans = plan_groups(
+        context.engine,
+        backends,
+        {},
+        {},
+        {"large": 5, "small": 5},
+        configured_group_shares(context.engine),
+        spares=1,
+        waiting_ids=(
+            {item.id for item in backends} if have_been == "have just become" else set()
+        ),
+    )
+
+
+@then('the plan with its loads is "{plan}"')
+def then_plan_with_loads(context, plan):
+    planned = " ".join(f"{item.model.name}:{item.loads}" for item in context.plans)
+    assert planned == plan, planned
+
+
 @given(
     "a weight store that supports {at_once:d} loads at once"
     " and {rate:g} new loads a second"
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -6,6 +6,7 @@
 
 # Backend servers that each fabric domain keeps free for repairs.
 SPARES_PER_DOMAIN = 1
+MIN_WAITING_SHARE = 2 / 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +47,15 @@
 
 
 def plan_groups(
-    engine, free, counts_by_model, last_model_by_id, targets, group_shares, *, spares
+    engine,
+    free,
+    counts_by_model,
+    last_model_by_id,
+    targets,
+    group_shares,
+    *,
+    spares,
+    waiting_ids=frozenset(),
 ):
     """Return the groups to form from ``free`` backend servers.
 
@@ -58,6 +67,9 @@
     :param group_shares: each model's share of the groups, by model name.
     :param spares: spares of each fabric domain. A model below its target may use
         them; for any other model, one more than these is left free.
+    :param waiting_ids: backend servers that have just become free. If a domain has at
+        least `MIN_WAITING_SHARE` of a group with the weights of a model below its
+        target, they wait for the rest of it: no other model loads over them.
     """
     free_by_domain = {}
     for backend in free:
@@ -74,6 +86,7 @@
             targets,
             group_shares,
             spares,
+            waiting_ids,
         )
         if planned is None:
             return planned_groups
@@ -87,13 +100,20 @@
 
 
 def _next_group(
-    engine, free_by_domain, counts, last_model_by_id, targets, group_shares, spares
+    engine,
+    free_by_domain,
+    counts,
+    last_model_by_id,
+    targets,
+    group_shares,
+    spares,
+    waiting_ids,
 ):
     """Return the next group to form, or ``None``.
 
     Models below their target go first, then the model that is furthest below its
-    share. Members that need no load are preferred, then domains that keep their
-    spares, then the tightest fit.
+    share. A group whose members all hold the weights goes before one that must load
+    any, so that the latter does not take members of the former.
     """
 
     def is_below_target(spec):
@@ -103,26 +123,77 @@
         _by_need(engine, counts, group_shares),
         key=lambda spec: not is_below_target(spec),
     )
-    for position, spec in enumerate(ordered):
-        below_target = is_below_target(spec)
-        if position and not below_target:
-            # Free backend servers are kept for the model that needs them most.
-            continue
-        needed = spec.size + (0 if below_target else spares + 1)
-        options = []
-        for members in free_by_domain.values():
-            if len(members) < needed:
-                continue
-            chosen = _choose_members(members, spec, last_model_by_id)
-            cold_count = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
-            uses_spares = len(members) < spec.size + spares
-            options.append((cold_count, uses_spares, len(members), chosen))
-        if options:
-            cold_count, _, _, chosen = min(options, key=lambda option: option[:3])
-            return PlannedGroup(spec, tuple(chosen), cold_count)
+    wanted = [spec for spec in ordered if is_below_target(spec)]
+
+    def usable_by_domain(spec):
+        others = [other for other in wanted if other is not spec]
+        return {
+            domain: _not_waiting(members, spec, others, waiting_ids)
+            for domain, members in free_by_domain.items()
+        }
+
+    planned = [
+        _cheapest_group(
+            spec, usable_by_domain(spec), last_model_by_id, spec.size, spares
+        )
+        for spec in wanted
+    ]
+    complete = [group for group in planned if group is not None]
+    without_loads = [group for group in complete if not group.loads]
+    if complete:
+        return (without_loads or complete)[0]
+    if ordered and not is_below_target(ordered[0]):
+        # Other models get nothing: free backend servers are kept for the model that
+        # needs them most.
+        spec = ordered[0]
+        needed = spec.size + spares + 1
+        return _cheapest_group(
+            spec, usable_by_domain(spec), last_model_by_id, needed, spares
+        )
     return None
 
 
+def _not_waiting(members, spec, others, waiting_ids):
+    """Return those of a domain's ``members`` that ``spec`` may use.
+
+    Not those that wait for the rest of a group of one of the ``others``.
+    """
+    reserved_ids = set()
+    for other in others:
+        held = [
+            item.id
+            for item in members
+            if item.id in waiting_ids
+            and other.name in item.staged
+            and spec.name not in item.staged
+        ]
+        if len(held) >= MIN_WAITING_SHARE * other.size:
+            reserved_ids.update(held)
+    return [item for item in members if item.id not in reserved_ids]
+
+
+def _cheapest_group(spec, free_by_domain, last_model_by_id, needed, spares):
+    """Return the group of ``spec`` with the fewest loads, or ``None``.
+
+    Of equal ones, that in a fabric domain that keeps its spares, then the tightest
+    fit.
+
+    :param needed: how many free backend servers a domain must have.
+    """
+    options = []
+    for members in free_by_domain.values():
+        if len(members) < needed:
+            continue
+        chosen = _choose_members(members, spec, last_model_by_id)
+        cold_count = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
+        uses_spares = len(members) < spec.size + spares
+        options.append((cold_count, uses_spares, len(members), chosen))
+    if not options:
+        return None
+    cold_count, _, _, chosen = min(options, key=lambda option: option[:3])
+    return PlannedGroup(spec, tuple(chosen), cold_count)
+
+
 def configured_group_shares(engine):
     """Return each model's share of the groups according to the configuration.
 
@@ -149,12 +220,18 @@
 
 
 def _choose_members(members, spec, last_model_by_id):
-    """Return ``spec.size`` of ``members``, preferring those that hold the weights."""
+    """Return ``spec.size`` of ``members``: those that can join soonest.
+
+    Of those that must load the weights, hosts without any go first: the others' are
+    needed by a group of their model.
+    """
 
     def load_need(backend):
         if last_model_by_id.get(backend.id) == spec.name:
             return 0
-        return 1 if spec.name in backend.staged else 2
+        if spec.name in backend.staged:
+            return 1
+        return 3 if backend.staged else 2
 
     ordered = sorted(members, key=lambda item: (load_need(item), item.id))
     return ordered[: spec.size]
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -47,6 +47,9 @@
 # take a tenth of the time and do not count against the platform's limits.
 UNLIMITED_LOADS_S = 9.0
 DISSOLVING_WAIT_S = 1.0
+# Members of a dissolved group that hold its weights wait for a replacement this long,
+# about as long as loading other weights takes, before another model may use them.
+REPAIR_PATIENCE_S = 15.0
 
 
 class FormationService:
@@ -77,6 +80,7 @@
         "_losses",
         "_absences",
         "_present_by_id",
+        "_free_since_by_id",
         "_dissolving_since_by_key",
         "_demand",
         "_staging",
@@ -117,6 +121,7 @@
         self._losses = LossDetector(self._kernel, self._engines)
         self._absences = AbsenceProber(self._kernel, self._engines)
         self._present_by_id = {}
+        self._free_since_by_id = {}
         self._dissolving_since_by_key = {}
         self._demand = DemandMeter(self._kernel)
         self._staging = SpareStaging()
@@ -364,6 +369,7 @@
             targets,
             group_shares,
             spares=SPARES_PER_DOMAIN,
+            waiting_ids=self._recently_freed(free),
         )
         now = self._kernel.clock.time()
         for planned in planned_groups:
@@ -391,6 +397,17 @@
             )
             self._advance(forming, None)
 
+    def _recently_freed(self, free):
+        """Return the ids of ``free`` that were in a group a short while ago."""
+        now = self._kernel.clock.time()
+        known = self._free_since_by_id
+        self._free_since_by_id = {item.id: known.get(item.id, now) for item in free}
+        return {
+            id_
+            for id_, since in self._free_since_by_id.items()
+            if now - since < REPAIR_PATIENCE_S
+        }
+
     def _advance(self, forming, group):
         """Send the joins that ``forming`` still needs, or abandon it.
 
