Learn from each model's streams how long a stall is

Change: the timeout is at least the mean and four deviations of what the model's streams took lately, over all groups (Jacobson and Karels 1988), and it backs off while more than 29 % of the attempts stall, which no single group causes.

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -73,3 +73,16 @@
     And 7.9 seconds pass
     Then every stream is complete, with each event exactly once
     And no stream had more than 2 attempts
+
+  Scenario: Streams of a model that is slow everywhere stay where they are (overload)
+    When 30 streams of model large arrive each second for 8 seconds
+    And 9 seconds pass
+    Then the replicas ran at most 1.1 attempts for each stream
+
+  Scenario: Streams of a group that stops are still resumed quickly under a normal load
+    When 6 streams of model large arrive each second for 4 seconds
+    And a member of a group of model large is lost for good
+    And 6 streams of model large arrive each second for 2 seconds
+    And 8 seconds pass
+    Then every stream is complete, with each event exactly once
+    And no stream paused for more than 1.0 seconds
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -10,7 +10,7 @@
 from pimentogap.forwarding._events import EventFilter
 from pimentogap.forwarding._receiver import AnswerReceiver
 from pimentogap.kernel import Clock
-from pimentogap.placement import BackendLoad
+from pimentogap.placement import BackendLoad, ModelLatency
 from pimentogap.platform import PlatformHeaders
 from pimentogap.types import RequestNeeds
 from pimentogap.web import BackendPool
@@ -134,7 +134,12 @@
     host, port = server.sockets[0].getsockname()
     address = f"{host}:{port}"
     receiver = AnswerReceiver(
-        StreamRequest(), BackendLoad("b", 1), PlatformHeaders(), Clock(), event_filter
+        StreamRequest(),
+        BackendLoad("b", 1),
+        ModelLatency(),
+        PlatformHeaders(),
+        Clock(),
+        event_filter,
     )
     await pool.exchange(
         address, "GET", "/", [("Host", "x")], b"", receiver, fresh=False, connect_s=1.0
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -81,6 +81,27 @@
     ]
 
 
+@when("{rate:d} streams of model {model} arrive each second for {seconds:d} seconds")
+def when_streams_arrive(context, rate, model, seconds):
+    names = sorted(context.simulation.fleet.kernels_by_name)
+    streams = []
+    for index in range(rate * seconds):
+        daemon = names[index % len(names)]
+        streams.append(
+            start_request(context, "POST", "/draft/x", daemon=daemon, model=model)
+        )
+        context.simulation.wait(1 / rate)
+    context.streams = getattr(context, "streams", []) + streams
+
+
+@then("the replicas ran at most {most:g} attempts for each stream")
+def then_attempts(context, most):
+    records = context.simulation.fleet.records
+    ids = {stream.id for stream in context.streams}
+    runs = [run for run in records.runs if run.attempt_id in ids]
+    assert len(runs) <= most * len(ids), (len(runs), len(ids))
+
+
 @when("{count:d} bookings are requested")
 def when_bookings(context, count):
     names = sorted(context.simulation.fleet.kernels_by_name)
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -32,14 +32,17 @@
         "_codec",
         "_event_filter",
         "_load",
+        "_latency",
+        "_began_at",
         "_clock",
         "_request",
     )
 
-    def __init__(self, request, load, codec, clock, event_filter):
+    def __init__(self, request, load, latency, codec, clock, event_filter):
         """Pass the answer on to the caller of ``request``.
 
         :param load: the `BackendLoad` of the backend server.
+        :param latency: the `ModelLatency` of the model, for a stream.
         :param codec: reads and writes the platform's headers.
         :param event_filter: the stream's `EventFilter`, or ``None`` for a plain answer.
         """
@@ -54,6 +57,8 @@
         self._codec = codec
         self._event_filter = event_filter
         self._load = load
+        self._latency = latency
+        self._began_at = self.progress_at
         self._clock = clock
         self._request = request
         if event_filter is not None:
@@ -111,9 +116,14 @@
         data = self._event_filter.feed(chunk)
         if not data:
             return
+        waiting_since = self.progress_at
         self._record_progress()
+        now = self.progress_at
         if self.first_event_at is None:
-            self.first_event_at = self.progress_at
+            self.first_event_at = now
+            self._latency.record_first_event(now - self._began_at, now)
+        else:
+            self._latency.record_gap(now - waiting_since, now)
         if not self._is_passing_through:
             self._is_passing_through = True
             if not self._request.response.begun:
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -245,8 +245,14 @@
 
     async def _attempt(self, request, admitted, attempts, backend, deadline):
         load = self._placement.load(backend)
+        latency = self._placement.latency(admitted.service, request.needs.model)
         receiver = AnswerReceiver(
-            request, load, self._codec, self._kernel.clock, attempts.event_filter
+            request,
+            load,
+            latency,
+            self._codec,
+            self._kernel.clock,
+            attempts.event_filter,
         )
         load.in_flight += 1
         exchange = asyncio.ensure_future(
@@ -256,7 +262,7 @@
         began_at = self._kernel.clock.time()
         try:
             outcome = await self._await_outcome(
-                request, admitted, attempts, load, receiver, exchange, deadline
+                request, admitted, attempts, load, latency, receiver, exchange, deadline
             )
         except asyncio.CancelledError:
             after_s = self._kernel.clock.time() - began_at
@@ -306,7 +312,7 @@
             return Lost(str(error))
 
     async def _await_outcome(
-        self, request, admitted, attempts, load, receiver, exchange, deadline
+        self, request, admitted, attempts, load, latency, receiver, exchange, deadline
     ):
         """Wait until ``exchange`` ends, stalls, or reaches the deadline."""
         clock = self._kernel.clock
@@ -315,31 +321,35 @@
             now = clock.time()
             wake_at = deadline
             if self._can_run_again(route, attempts):
-                wake_at = min(deadline, self._stalled_at(route, receiver, load, now))
+                stalled_at = self._stalled_at(route, receiver, load, latency, now)
+                wake_at = min(deadline, stalled_at)
             done, _ = await asyncio.wait({exchange}, timeout=max(0.0, wake_at - now))
             if done:
                 return exchange.result()
             now = clock.time()
             if now >= deadline:
                 return TimedOut()
-            if now >= self._stalled_at(route, receiver, load, now):
+            if now >= self._stalled_at(route, receiver, load, latency, now):
                 silent_s = now - receiver.progress_at
                 if self._has_alternative(request, admitted, attempts, load):
+                    latency.record_stall()
                     return Stalled(silent_s)
                 await asyncio.wait({exchange}, timeout=ALTERNATIVE_CHECK_INTERVAL_S)
 
-    def _stalled_at(self, route, receiver, load, now):
+    def _stalled_at(self, route, receiver, load, latency, now):
         """Return when an attempt counts as stalled unless more bytes arrive."""
         if route.kind is RouteKind.IDEMPOTENT:
             return receiver.progress_at + IDEMPOTENT_STALL_FACTOR * route.first_byte_s
         if load.is_suspect(now):
             timeout_s = SUSPECT_STALL_TIMEOUT_S
         elif receiver.first_event_at is None:
-            timeout_s = max(
+            least_s = max(
                 MIN_STALL_TIMEOUT_S, FIRST_EVENT_STALL_FACTOR * route.first_byte_s
             )
+            timeout_s = latency.first_event_timeout_s(least_s, now)
         else:
-            timeout_s = max(MIN_STALL_TIMEOUT_S, GAP_STALL_FACTOR * route.max_gap_s)
+            least_s = max(MIN_STALL_TIMEOUT_S, GAP_STALL_FACTOR * route.max_gap_s)
+            timeout_s = latency.gap_timeout_s(least_s, now)
         if not load.is_suspect(now):
             timeout_s *= max(1.0, FULL_LOAD_STALL_FACTOR * load.requests_per_slot(now))
         stalled_at = receiver.progress_at + timeout_s
--- a/pimentogap/placement/__init__.py
+++ b/pimentogap/placement/__init__.py
@@ -1,6 +1,7 @@
 """Chooses the backend server for each attempt by the estimated load."""
 
 from pimentogap.placement._budget import RetryBudget
+from pimentogap.placement._latency import ModelLatency
 from pimentogap.placement._loads import BackendLoad
 from pimentogap.placement._service import Forward, Full, Missing, PlacementService
 
@@ -9,6 +10,7 @@
     "Forward",
     "Full",
     "Missing",
+    "ModelLatency",
     "PlacementService",
     "RetryBudget",
 ]
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -4,6 +4,7 @@
 
 from logbook import Logger
 
+from pimentogap.placement._latency import ModelLatency
 from pimentogap.placement._loads import BackendLoad
 from pimentogap.types import Backend
 
@@ -41,13 +42,20 @@
 
     name = "placement"
     requires = ("directory", "serving_configuration")
-    __slots__ = ("_kernel", "_directory", "_configuration", "loads_by_key")
+    __slots__ = (
+        "_kernel",
+        "_directory",
+        "_configuration",
+        "loads_by_key",
+        "_latencies_by_model",
+    )
 
     def __init__(self):
         self._kernel = None
         self._directory = None
         self._configuration = None
         self.loads_by_key = {}
+        self._latencies_by_model = {}
 
     async def start(self, kernel):
         """Start the task that prunes the loads of unlisted backend servers."""
@@ -67,6 +75,14 @@
             load = self.loads_by_key[key] = BackendLoad(backend.id, backend.slots)
         return load
 
+    def latency(self, service, model):
+        """Return the `ModelLatency` of a model of ``service``."""
+        key = (service, model)
+        latency = self._latencies_by_model.get(key)
+        if latency is None:
+            latency = self._latencies_by_model[key] = ModelLatency()
+        return latency
+
     def choose(self, service, model, *, excluded=()):
         """Return `Forward`, `Full` or `Missing` for a request.
 
@@ -110,6 +126,19 @@
             for key in [key for key in self.loads_by_key if key not in listed]:
                 if not self.loads_by_key[key].in_flight:
                     del self.loads_by_key[key]
+            self._forget_models()
+
+    def _forget_models(self):
+        """Forget models that the configuration does not have, which callers named."""
+        services = self._configuration.current.services_by_name
+        known = {
+            (service.name, spec.name)
+            for service in services.values()
+            if service.engine is not None
+            for spec in service.engine.models
+        }
+        for key in self._latencies_by_model.keys() - known:
+            del self._latencies_by_model[key]
 
 
 def _load_key(backend):
