Load weights before members join, and regroup members that are warm at once

Cause: a group that lacked weights on one host was joined at once, and its other members waited 12 to 16 s in it while another group of the same model that lost a member had no spare. Change: hosts load first, and their group is joined when none of its members needs a load any more; a group of warm members may exceed the target by one if they have just been in one. Loads that were ordered are known until they end; an unanswered order is repeated.

--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -4,6 +4,7 @@
 
 from pimentogap.formation import (
     Demand,
+    HostWeights,
     LoadLimiter,
     configured_group_shares,
     plan_groups,
@@ -69,7 +70,7 @@
         context.engine,
         backends,
         {"large": large, "small": small},
-        {},
+        HostWeights(),
         {"large": target, "small": target},
         context.demand.group_shares(context.engine),
         spares=1,
@@ -106,7 +107,7 @@
         context.engine,
         backends,
         {},
-        {},
+        HostWeights(),
         {"large": 5, "small": 5},
         configured_group_shares(context.engine),
         spares=1,
--- a/pimentogap/formation/__init__.py
+++ b/pimentogap/formation/__init__.py
@@ -10,10 +10,12 @@
     target_counts,
 )
 from pimentogap.formation._service import FormationService
+from pimentogap.formation._weights import HostWeights
 
 __all__ = [
     "Demand",
     "FormationService",
+    "HostWeights",
     "LeaseService",
     "LoadLimiter",
     "PlannedGroup",
--- a/pimentogap/formation/_orders.py
+++ b/pimentogap/formation/_orders.py
@@ -28,6 +28,7 @@
         "_term",
         "_sent_at_by_key",
         "_may_join_until_by_id",
+        "_unanswered_keys",
     )
 
     def __init__(self, kernel, engines, term):
@@ -37,6 +38,12 @@
         self._term = term
         self._sent_at_by_key = {}
         self._may_join_until_by_id = {}
+        self._unanswered_keys = set()
+
+    def send_again_if_unanswered(self, backend, order):
+        """Send ``order`` again if the last time it had no answer."""
+        if (backend.id, backend.incarnation, order) in self._unanswered_keys:
+            self.send(backend, order)
 
     def send(self, backend, order):
         """Send ``order`` to ``backend`` unless it was sent within `ORDER_RETRY_S`."""
@@ -73,10 +80,13 @@
             outcome=type(outcome).__name__,
             detail=getattr(outcome, "detail", None),
         )
+        key = (backend.id, backend.incarnation, order)
         match outcome:
             case OrderUnanswered():
+                self._unanswered_keys.add(key)
                 if isinstance(order, JoinGroup):
                     until = self._kernel.clock.time() + MAX_ORDER_DELAY_S
                     self._may_join_until_by_id[backend.id] = until
             case _:
+                self._unanswered_keys.discard(key)
                 self._may_join_until_by_id.pop(backend.id, None)
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -13,7 +13,8 @@
 class PlannedGroup:
     """A group to form for ``model``; the first of ``members`` is its head.
 
-    ``loads`` counts the members that must load the weights from the weight store.
+    ``loads`` counts the members that must load the weights from the weight store, or
+    do so already.
     """
 
     model: object
@@ -50,11 +51,12 @@
     engine,
     free,
     counts_by_model,
-    last_model_by_id,
+    weights,
     targets,
     group_shares,
     *,
     spares,
+    now=0.0,
     waiting_ids=frozenset(),
 ):
     """Return the groups to form from ``free`` backend servers.
@@ -62,11 +64,12 @@
     :param engine: the `EngineSpec` of the service.
     :param free: backend servers that are in no group to be kept.
     :param counts_by_model: how many groups of each model exist or are being formed.
-    :param last_model_by_id: the model of each backend server's last group.
+    :param weights: the `HostWeights`.
     :param targets: what `target_counts` returned.
     :param group_shares: each model's share of the groups, by model name.
     :param spares: spares of each fabric domain. A model below its target may use
         them; for any other model, one more than these is left free.
+    :param now: seconds of the runtime's clock, for loads in progress.
     :param waiting_ids: backend servers that have just become free. If a domain has at
         least `MIN_WAITING_SHARE` of a group with the weights of a model below its
         target, they wait for the rest of it: no other model loads over them.
@@ -82,10 +85,11 @@
             engine,
             free_by_domain,
             counts,
-            last_model_by_id,
+            weights,
             targets,
             group_shares,
             spares,
+            now,
             waiting_ids,
         )
         if planned is None:
@@ -103,17 +107,20 @@
     engine,
     free_by_domain,
     counts,
-    last_model_by_id,
+    weights,
     targets,
     group_shares,
     spares,
+    now,
     waiting_ids,
 ):
     """Return the next group to form, or ``None``.
 
     Models below their target go first, then the model that is furthest below its
     share. A group whose members all hold the weights goes before one that must load
-    any, so that the latter does not take members of the former.
+    any, so that the latter does not take members of the former; also one beyond the
+    target, if most of its members have just been in a group of that model. (The targets
+    follow the number of backend servers, so a loss may lower one.)
     """
 
     def is_below_target(spec):
@@ -133,13 +140,23 @@
         }
 
     planned = [
-        _cheapest_group(
-            spec, usable_by_domain(spec), last_model_by_id, spec.size, spares
-        )
+        _cheapest_group(spec, usable_by_domain(spec), weights, spec.size, spares, now)
         for spec in wanted
     ]
     complete = [group for group in planned if group is not None]
     without_loads = [group for group in complete if not group.loads]
+    if complete and not without_loads:
+        without_loads = [
+            group
+            for spec in ordered
+            if counts.get(spec.name, 0) == targets.get(spec.name, 0)
+            for group in [
+                _cheapest_group(
+                    spec, usable_by_domain(spec), weights, spec.size, spares, now
+                )
+            ]
+            if group is not None and _is_regrouped(group, waiting_ids)
+        ]
     if complete:
         return (without_loads or complete)[0]
     if ordered and not is_below_target(ordered[0]):
@@ -148,11 +165,17 @@
         spec = ordered[0]
         needed = spec.size + spares + 1
         return _cheapest_group(
-            spec, usable_by_domain(spec), last_model_by_id, needed, spares
+            spec, usable_by_domain(spec), weights, needed, spares, now
         )
     return None
 
 
+def _is_regrouped(group, waiting_ids):
+    """Return whether ``group`` needs no load and most members were just in another."""
+    count = sum(member.id in waiting_ids for member in group.members)
+    return not group.loads and count >= MIN_WAITING_SHARE * group.model.size
+
+
 def _not_waiting(members, spec, others, waiting_ids):
     """Return those of a domain's ``members`` that ``spec`` may use.
 
@@ -172,7 +195,7 @@
     return [item for item in members if item.id not in reserved_ids]
 
 
-def _cheapest_group(spec, free_by_domain, last_model_by_id, needed, spares):
+def _cheapest_group(spec, free_by_domain, weights, needed, spares, now):
     """Return the group of ``spec`` with the fewest loads, or ``None``.
 
     Of equal ones, that in a fabric domain that keeps its spares, then the tightest
@@ -184,8 +207,11 @@
     for members in free_by_domain.values():
         if len(members) < needed:
             continue
-        chosen = _choose_members(members, spec, last_model_by_id)
-        cold_count = sum(_is_cold(item, spec, last_model_by_id) for item in chosen)
+        ordered = sorted(
+            members, key=lambda item: (weights.rank(item, spec, now), item.id)
+        )
+        chosen = ordered[: spec.size]
+        cold_count = sum(weights.is_cold(item, spec, now) for item in chosen)
         uses_spares = len(members) < spec.size + spares
         options.append((cold_count, uses_spares, len(members), chosen))
     if not options:
@@ -217,26 +243,3 @@
         engine.models,
         key=lambda spec: (counts.get(spec.name, 0) + 0.5) / group_shares[spec.name],
     )
-
-
-def _choose_members(members, spec, last_model_by_id):
-    """Return ``spec.size`` of ``members``: those that can join soonest.
-
-    Of those that must load the weights, hosts without any go first: the others' are
-    needed by a group of their model.
-    """
-
-    def load_need(backend):
-        if last_model_by_id.get(backend.id) == spec.name:
-            return 0
-        if spec.name in backend.staged:
-            return 1
-        return 3 if backend.staged else 2
-
-    ordered = sorted(members, key=lambda item: (load_need(item), item.id))
-    return ordered[: spec.size]
-
-
-def _is_cold(backend, spec, last_model_by_id):
-    last = last_model_by_id.get(backend.id)
-    return last != spec.name and spec.name not in backend.staged
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -17,7 +17,8 @@
     plan_groups,
     target_counts,
 )
-from pimentogap.formation._staging import SpareStaging
+from pimentogap.formation._staging import choose_staging
+from pimentogap.formation._weights import HostWeights
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
@@ -76,14 +77,13 @@
         "_epoch_count",
         "_forming_by_key",
         "_orders",
-        "_last_model_by_id",
+        "_weights",
         "_losses",
         "_absences",
         "_present_by_id",
         "_free_since_by_id",
         "_dissolving_since_by_key",
         "_demand",
-        "_staging",
         "_started_at",
         "_has_traffic",
         "_list_size",
@@ -103,7 +103,7 @@
         self._configuration = None
         self._demand = None
         self._limiter = LoadLimiter(settings.load_window_s)
-        self._last_model_by_id = {}
+        self._weights = HostWeights()
         self._started_at = 0.0
         self._has_traffic = False
         self._list_size = 0
@@ -124,7 +124,6 @@
         self._free_since_by_id = {}
         self._dissolving_since_by_key = {}
         self._demand = DemandMeter(self._kernel)
-        self._staging = SpareStaging()
 
     async def start(self, kernel):
         """Start the task that forms and repairs groups while the lease is held."""
@@ -246,8 +245,9 @@
             configured_group_shares(service.engine),
             spares=SPARES_PER_DOMAIN,
         )
-        self._form(service, free, counts, targets, group_shares)
-        self._stage_weights_on_spares(service, free, groups)
+        reserved_ids = self._form(service, free, counts, targets, group_shares)
+        spares = [backend for backend in free if backend.id not in reserved_ids]
+        self._stage_weights_on_spares(service, spares, groups)
 
     def _dissolving_domains(self, groups, now):
         """Return the domains in which members are just leaving a dissolved group.
@@ -271,7 +271,7 @@
             membership = backend.membership
             if membership is not None and membership.state in LOADED_STATES:
                 model = membership.group.partition(MODEL_SEPARATOR)[0]
-                self._last_model_by_id[backend.id] = model
+                self._weights.record_served(backend, model)
 
     def _reconcile_group(self, service, key, group, specs):
         """Open a complete group; adopt or dissolve an incomplete one.
@@ -361,19 +361,31 @@
             self._orders.send(member, LeaveGroup(group.name, group.epoch))
 
     def _form(self, service, free, counts, targets, group_shares):
+        """Form the planned groups; load weights for those that lack some.
+
+        The members of a group that lacks weights stay free while these load, so that
+        those who hold them can replace a member that another group loses meanwhile.
+
+        :return: the ids of backend servers that are kept for a group.
+        """
+        now = self._kernel.clock.time()
+        waiting_ids = self._recently_freed(free)
         planned_groups = plan_groups(
             service.engine,
             free,
             counts,
-            self._last_model_by_id,
+            self._weights,
             targets,
             group_shares,
             spares=SPARES_PER_DOMAIN,
-            waiting_ids=self._recently_freed(free),
+            now=now,
+            waiting_ids=waiting_ids,
         )
-        now = self._kernel.clock.time()
+        reserved_ids = set(waiting_ids)
         for planned in planned_groups:
-            if not self._admit_loads(service, planned, now):
+            if planned.loads and not self._loads_are_unlimited():
+                self._stage_weights(service, planned, now)
+                reserved_ids.update(member.id for member in planned.members)
                 continue
             self._epoch_count += 1
             epoch = self._term * EPOCHS_PER_TERM + self._epoch_count
@@ -396,6 +408,36 @@
                 term=self._term,
             )
             self._advance(forming, None)
+        return reserved_ids
+
+    def _stage_weights(self, service, planned, now):
+        """Order the members of ``planned`` that lack the weights to load them.
+
+        As many at once as the limits on loads admit for a group.
+        """
+        spec = planned.model
+        order = StageWeights(spec.name)
+        missing = []
+        for member in planned.members:
+            if self._weights.loading(member, now) == spec.name:
+                # Sent again in case the order was lost; it changes nothing otherwise.
+                self._orders.send_again_if_unanswered(member, order)
+            elif self._weights.is_cold(member, spec, now):
+                missing.append(member)
+        if missing and self._limiter.admit_group(
+            service.engine, len(missing), now, load_s=spec.load_s
+        ):
+            for member in missing:
+                self._weights.record_load(member, spec, now)
+                self._orders.send(member, order)
+            log.info(
+                "loading weights for a group",
+                model=spec.name,
+                loading=[member.id for member in missing],
+                members=[member.id for member in planned.members],
+                list_rev=self._directory.revision,
+                term=self._term,
+            )
 
     def _recently_freed(self, free):
         """Return the ids of ``free`` that were in a group a short while ago."""
@@ -449,13 +491,6 @@
                 self._orders.send(backend, join)
         return True
 
-    def _admit_loads(self, service, planned, now):
-        if not planned.loads or self._loads_are_unlimited():
-            return True
-        return self._limiter.admit_group(
-            service.engine, planned.loads, now, load_s=planned.model.load_s
-        )
-
     def _admit_staging(self, service, load_s):
         now = self._kernel.clock.time()
         return self._loads_are_unlimited() or self._limiter.admit_staging(
@@ -490,8 +525,12 @@
                 name: (members[name] + 0.5) * spec.load_s
                 for name, spec in specs_by_name.items()
             }
-            for backend, model in self._staging.choose(spares, weights):
-                load_s = specs_by_name[model].load_s
-                if self._admit_staging(service, load_s):
-                    self._staging.record(backend, model)
+            now = self._kernel.clock.time()
+            loading_by_id = {
+                item.id: self._weights.loading(item, now) for item in spares
+            }
+            for backend, model in choose_staging(spares, loading_by_id, weights):
+                spec = specs_by_name[model]
+                if self._admit_staging(service, spec.load_s):
+                    self._weights.record_load(backend, spec, now)
                     self._orders.send(backend, StageWeights(model))
