Stage weights on spares from the first second on

Change: only servers that hold weights wait for a group of their model. Result: the new scenario failed before and passes.

--- a/features/platform/repair.feature
+++ b/features/platform/repair.feature
@@ -21,3 +21,8 @@
     And 6 seconds pass
     Then there are at least 1 open groups of model large
     And no replica was in two groups, and no incomplete group ran a request
+
+  Scenario: Spares hold weights before the first request arrives
+    Given a platform with 3 fabric domains of 8 replicas and 3 daemons
+    When 10 seconds pass
+    Then every replica holds weights
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -645,6 +645,13 @@
     context.simulation.call_in_loop(add)
 
 
+@then("every replica holds weights")
+def then_all_staged(context):
+    replicas = context.simulation.fleet.replicas_by_id.values()
+    empty = [replica.id for replica in replicas if not replica.staged]
+    assert not empty, empty
+
+
 @then("there were never more than {count:d} loads at once")
 def then_loading(context, count):
     most = context.simulation.fleet.records.max_concurrent_loads
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -440,10 +440,12 @@
             )
 
     def _recently_freed(self, free):
-        """Return the ids of ``free`` that were in a group a short while ago."""
+        """Return the ids of ``free`` that hold weights and became free lately."""
         now = self._kernel.clock.time()
         known = self._free_since_by_id
-        self._free_since_by_id = {item.id: known.get(item.id, now) for item in free}
+        self._free_since_by_id = {
+            item.id: known.get(item.id, now) for item in free if item.staged
+        }
         return {
             id_
             for id_, since in self._free_since_by_id.items()
