Start from relays, and keep a relay whose copy is older but fresh

Cause: each daemon read every collection from the store when it started; at 195 daemons and again after a power loss of all that is most of what the store's calls cost. Change: a starting daemon reads only the list of daemons from the store, waits up to 2.5 s for a relay to have the other collections, and then reads the store; at the first start it waits until all are registered. An older revision of a fresh relay means no change. Result: scenarios of both; that of the older relay fails without its change.

--- a/features/platform/daemons.feature
+++ b/features/platform/daemons.feature
@@ -31,6 +31,19 @@
     And 3 seconds pass
     Then every daemon counts 7 daemons
 
+  Scenario: A relay whose copy is older, but fresh, is asked again
+    Given the log is captured
+    When a daemon other than the leader is killed and started again
+    And 30 seconds pass
+    Then no relay was dropped by it
+    And every daemon counts 5 daemons
+
+  Scenario: Daemons read their first copies from relays
+    When 10 more daemons are started
+    And 4 seconds pass
+    Then the new daemons know the configuration and the backend servers
+    And no new daemon read more of the store than the list of daemons
+
   Scenario: The calls to the store do not grow with the number of daemons
     When the calls to the store are counted for 20 seconds
     And 10 more daemons are started
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -30,6 +30,42 @@
     context.simulation.run(context.simulation.fleet.kill_daemon(others[0]))
 
 
+@when("a daemon other than the leader is killed and started again")
+def when_other_restarted(context):
+    _, others = leader_and_others(context)
+    fleet = context.simulation.fleet
+    context.restarted = others[-1]
+    context.simulation.run(fleet.kill_daemon(context.restarted))
+    context.simulation.run(fleet.start_daemon(context.restarted))
+    context.simulation.wait(3.0)
+    context.log.records.clear()
+
+
+@then("no relay was dropped by it")
+def then_no_relay_dropped(context):
+    dropped = [r.kwargs for r in context.log.records if r.msg == "relay failed"]
+    assert not dropped, dropped
+
+
+@then("the new daemons know the configuration and the backend servers")
+def then_new_daemons_ready(context):
+    for name, kernel in new_kernels(context):
+        assert kernel.get("serving_configuration").current is not None, name
+        assert kernel.get("directory").loaded, name
+
+
+@then("no new daemon read more of the store than the list of daemons")
+def then_few_lists(context):
+    for name, kernel in new_kernels(context):
+        lists = kernel.get("store").calls_by_kind.get("List", 0)
+        assert lists == 1 or kernel.get("daemons").is_relay(), (name, lists)
+
+
+def new_kernels(context):
+    kernels = context.simulation.fleet.kernels_by_name
+    return [(f"front-{index}", kernels[f"front-{index}"]) for index in range(5, 15)]
+
+
 @when("the leader cannot call another daemon")
 def when_leader_cut(context):
     capture_log(context)
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -121,7 +121,7 @@
         ),
         DirectoryService(BACKEND_COLLECTION, decode_backend),
         DaemonsService(settings),
-        RelayService(),
+        RelayService(first_start=settings.first_start),
         PlacementService(),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
@@ -167,7 +167,8 @@
     )
     await kernel.stop()
     kernel_failed.cancel()
-    log.notice("stopped", in_order=stop.is_set())
+    store_calls = kernel.get("store").calls_by_kind
+    log.notice("stopped", in_order=stop.is_set(), store_calls=store_calls)
     sink.flush()
     return EXIT_OK if stop.is_set() else EXIT_FAILED
 
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -46,6 +46,14 @@
 RELAY_COOLDOWN_S = 5.0
 RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 0.5
+# At the first start of the fleet, all daemons register within this time, and only then
+# can any of them tell who the relays are.
+REGISTRATION_S = 0.6
+REGISTRATION_SPREAD_S = 0.3
+# A daemon that has just started asks relays for its first copy of a collection until
+# then, and afterwards the store.
+BOOTSTRAP_LIMIT_S = 2.5
+BOOTSTRAP_RETRY_S = 0.15
 
 
 class Subscription:
@@ -99,9 +107,19 @@
         "_calls",
         "_daemons",
         "_subscriptions_by_collection",
+        "_is_first_start",
+        "_started_at",
+        "_daemons_listed",
     )
 
-    def __init__(self):
+    def __init__(self, *, first_start=False):
+        """Create the service.
+
+        :param first_start: whether the whole fleet starts for the first time.
+        """
+        self._is_first_start = first_start
+        self._started_at = 0.0
+        self._daemons_listed = asyncio.Event()
         self._kernel = None
         self._store = None
         self._calls = None
@@ -115,9 +133,10 @@
         self._calls = kernel.get("calls")
         self._daemons = kernel.get("daemons")
         self._calls.register(CHANGES_CALL, self._answer_changes)
+        self._started_at = kernel.clock.time()
         self.follow(
             self._daemons.collection,
-            self._daemons.apply,
+            self._apply_daemons,
             watch_wait_s=DAEMONS_WATCH_WAIT_S,
         )
 
@@ -135,6 +154,10 @@
             self.name, self._follow, subscription, on_error=RestartOnError()
         )
 
+    def _apply_daemons(self, update):
+        self._daemons.apply(update)
+        self._daemons_listed.set()
+
     async def _follow(self, subscription):
         clock = self._kernel.clock
         delay_s = RETRY_DELAY_S
@@ -163,6 +186,8 @@
 
     async def _read(self, subscription, revision):
         """Return the next `CollectionUpdate`, from a relay or else from the store."""
+        if not subscription.changes.revision:
+            return await self._read_first(subscription)
         address = self._choose_relay(subscription)
         subscription.reads_store = address is None
         may_wait = subscription.unavailable_since is None
@@ -175,6 +200,45 @@
         wait_s = subscription.watch_wait_s if may_wait else CATCH_UP_WAIT_S
         return await self._read_store(subscription.collection, revision, wait_s)
 
+    async def _read_first(self, subscription):
+        """Return the whole collection for a daemon that has just started.
+
+        If every daemon read it from the store, a start of the whole fleet would cost
+        as many calls as it has daemons, times the pages of the collection.
+        """
+        clock = self._kernel.clock
+        if subscription.collection == self._daemons.collection:
+            return await self._read_daemons_first()
+        ends_at = self._started_at + BOOTSTRAP_LIMIT_S
+        try:
+            async with clock.timeout(max(0.0, ends_at - clock.time())):
+                await self._daemons_listed.wait()
+                while not self._daemons.is_relay() and not self._is_leader():
+                    for address in self._daemons.relay_addresses():
+                        try:
+                            return await self._read_relay(address, subscription, None)
+                        except (PeerUnreachable, ResponseLost) as error:
+                            log.debug("relay has no copy yet", error=str(error))
+                    await clock.sleep(BOOTSTRAP_RETRY_S)
+        except TimeoutError:
+            log.info("no relay has a copy", collection=subscription.collection)
+        subscription.reads_store = True
+        return await self._read_store(subscription.collection, None, CATCH_UP_WAIT_S)
+
+    async def _read_daemons_first(self):
+        if self._is_first_start:
+            spread_s = REGISTRATION_SPREAD_S * self._kernel.random.random()
+            registered_at = self._started_at + REGISTRATION_S + spread_s
+            remaining_s = registered_at - self._kernel.clock.time()
+            await self._kernel.clock.sleep(max(0.0, remaining_s))
+        # After a restart of the fleet the list is seconds old at worst, and complete.
+        stale = not self._is_first_start
+        objects, revision = await self._store.list(
+            self._daemons.collection, stale=stale
+        )
+        since_outage_s = self._since_outage_s()
+        return CollectionUpdate(True, (), tuple(objects), revision, since_outage_s)
+
     def _drop_relay(self, subscription, address, revision, error):
         """Leave a failed relay out for a while; the store is read in its place."""
         log.info(
@@ -225,7 +289,10 @@
                 f"{error!r}"
             )
         if revision is not None and update.revision < revision:
-            raise ResponseLost(f"{address} is behind, at revision {update.revision}")
+            # Its last read of the store was earlier than the one that this daemon's
+            # copy comes from. The revision grows with changes of other collections
+            # too, so it need not miss anything.
+            return CollectionUpdate(False, (), (), revision, update.since_outage_s)
         return update
 
     def _apply(self, subscription, update):
