Serve only what is up to date after a pause of the process

Cause: a daemon that was paused for some seconds handled its first requests by the routes and keys of before; a key that had been removed meanwhile was still served (scenario). Ruled out: acting on the lease, which is checked on a clock that counts a pause just before each order. Change: a request that finds that the process did not run for 2 s waits until the configuration and the backend list were read again, 0.6 s at most, and is then refused as not run; after 3 s without news the daemon goes on, as it does without the store.

--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -62,6 +62,8 @@
 EXTRA_ATTEMPTS = 2
 # Another daemon can serve the request at once.
 RETRY_AFTER_STOPPING_S = 0.05
+# By then the daemon is up to date, or another one takes the request.
+RETRY_AFTER_PAUSE_S = 0.3
 # Callers read these statuses as "not run", so the failure of a request that ran is
 # answered with 502 instead.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -77,6 +79,7 @@
         "directory",
         "daemons",
         "metrics",
+        "pauses",
     )
     __slots__ = (
         "_pool",
@@ -144,6 +147,11 @@
         """Answer ``request``, a `CallerRequest`."""
         self.in_flight += 1
         try:
+            if not await self._kernel.get("pauses").wait_until_current():
+                self._refuse(
+                    request, None, 503, "paused", retry_after_s=RETRY_AFTER_PAUSE_S
+                )
+                return
             configuration = self._configuration.current
             match admit(configuration, request, self._kernel.random):
                 case Rejected(reason):
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -24,6 +24,7 @@
 from pimentogap.kernel import Kernel
 from pimentogap.logs import install_decision_log
 from pimentogap.metrics import MetricService
+from pimentogap.pauses import PauseService
 from pimentogap.peers.grpc import GrpcTransport
 from pimentogap.placement import PlacementService
 from pimentogap.platform import (
@@ -122,6 +123,7 @@
         DirectoryService(BACKEND_COLLECTION, decode_backend),
         DaemonsService(settings),
         RelayService(first_start=settings.first_start),
+        PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PlacementService(),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -154,6 +154,10 @@
             self.name, self._follow, subscription, on_error=RestartOnError()
         )
 
+    def confirmed_at(self, collection):
+        """Return when ``collection`` was last read, by the clock of the runtime."""
+        return self._subscriptions_by_collection[collection].confirmed_at
+
     def _apply_daemons(self, update):
         self._daemons.apply(update)
         self._daemons_listed.set()
