Let no server wait for its group, and start again from the store in a small fleet

Change: no member waits for the rest of its group any more; a group of warm members beyond the target stays. A daemon that starts again in a fleet of up to 20 reads the store. The planning case of members that wait is replaced by two of the rule that stayed.

--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -174,7 +174,7 @@
 
     Examples:
       | free            | plan            |
-      | LLLss           | small:0         |
+      | LLLss           | small:0 small:2 |
       | LLLss-          | small:0 large:1 |
       | LLLs            | large:1         |
       | LLL-s           | large:1         |
@@ -183,10 +183,15 @@
       | ----            | large:4         |
       | LL---- ssss     | small:0 small:0 large:2 small:2 |
 
-  Scenario: Servers that have waited long for the rest of a group are used by another model
+  Scenario Outline: Warm members form a group beyond the target only if they have just been in one
     Given an engine with models of 4 and 2 members and shares of 0.67 and 0.33
-    When the backend servers "LLLss" of each domain have long been free, with weights of large, small or nothing (-)
-    Then the plan with its loads is "small:0 small:2"
+    When 1 large group exists, the targets are 1 and 2, and the backend servers "LLLL" <have been> free
+    Then the plan with its loads is "<plan>"
+
+    Examples:
+      | have been        | plan            |
+      | have just become | large:0         |
+      | have long been   | small:2 small:2 |
 
   Scenario Outline: A group that needs more loads than the limits allow is formed alone
     Given a weight store that supports 6 loads at once and 4 new loads a second
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -6,7 +6,9 @@
 
 # Backend servers that each fabric domain keeps free for repairs.
 SPARES_PER_DOMAIN = 1
-MIN_WAITING_SHARE = 2 / 3
+# Share of a group's members that must have been in one a short while ago, for a group
+# beyond the target of its model.
+MIN_REGROUPED_SHARE = 2 / 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,7 +59,7 @@
     *,
     spares,
     now=0.0,
-    waiting_ids=frozenset(),
+    regroup_ids=frozenset(),
 ):
     """Return the groups to form from ``free`` backend servers.
 
@@ -70,9 +72,7 @@
     :param spares: spares of each fabric domain. A model below its target may use
         them; for any other model, one more than these is left free.
     :param now: seconds of the runtime's clock, for loads in progress.
-    :param waiting_ids: backend servers that have just become free. If a domain has at
-        least `MIN_WAITING_SHARE` of a group with the weights of a model below its
-        target, they wait for the rest of it: no other model loads over them.
+    :param regroup_ids: backend servers that were in a group a short while ago.
     """
     free_by_domain = {}
     for backend in free:
@@ -90,7 +90,7 @@
             group_shares,
             spares,
             now,
-            waiting_ids,
+            regroup_ids,
         )
         if planned is None:
             return planned_groups
@@ -112,7 +112,7 @@
     group_shares,
     spares,
     now,
-    waiting_ids,
+    regroup_ids,
 ):
     """Return the next group to form, or ``None``.
 
@@ -131,16 +131,8 @@
         key=lambda spec: not is_below_target(spec),
     )
     wanted = [spec for spec in ordered if is_below_target(spec)]
-
-    def usable_by_domain(spec):
-        others = [other for other in wanted if other is not spec]
-        return {
-            domain: _not_waiting(members, spec, others, waiting_ids)
-            for domain, members in free_by_domain.items()
-        }
-
     planned = [
-        _cheapest_group(spec, usable_by_domain(spec), weights, spec.size, spares, now)
+        _cheapest_group(spec, free_by_domain, weights, spec.size, spares, now)
         for spec in wanted
     ]
     complete = [group for group in planned if group is not None]
@@ -151,11 +143,9 @@
             for spec in ordered
             if counts.get(spec.name, 0) == targets.get(spec.name, 0)
             for group in [
-                _cheapest_group(
-                    spec, usable_by_domain(spec), weights, spec.size, spares, now
-                )
+                _cheapest_group(spec, free_by_domain, weights, spec.size, spares, now)
             ]
-            if group is not None and _is_regrouped(group, waiting_ids)
+            if group is not None and _is_regrouped(group, regroup_ids)
         ]
     if complete:
         return (without_loads or complete)[0]
@@ -164,35 +154,14 @@
         # needs them most.
         spec = ordered[0]
         needed = spec.size + spares + 1
-        return _cheapest_group(
-            spec, usable_by_domain(spec), weights, needed, spares, now
-        )
+        return _cheapest_group(spec, free_by_domain, weights, needed, spares, now)
     return None
 
 
-def _is_regrouped(group, waiting_ids):
+def _is_regrouped(group, regroup_ids):
     """Return whether ``group`` needs no load and most members were just in another."""
-    count = sum(member.id in waiting_ids for member in group.members)
-    return not group.loads and count >= MIN_WAITING_SHARE * group.model.size
-
-
-def _not_waiting(members, spec, others, waiting_ids):
-    """Return those of a domain's ``members`` that ``spec`` may use.
-
-    Not those that wait for the rest of a group of one of the ``others``.
-    """
-    reserved_ids = set()
-    for other in others:
-        held = [
-            item.id
-            for item in members
-            if item.id in waiting_ids
-            and other.name in item.staged
-            and spec.name not in item.staged
-        ]
-        if len(held) >= MIN_WAITING_SHARE * other.size:
-            reserved_ids.update(held)
-    return [item for item in members if item.id not in reserved_ids]
+    count = sum(member.id in regroup_ids for member in group.members)
+    return not group.loads and count >= MIN_REGROUPED_SHARE * group.model.size
 
 
 def _cheapest_group(spec, free_by_domain, weights, needed, spares, now):
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -48,9 +48,9 @@
 # take a tenth of the time and do not count against the platform's limits.
 UNLIMITED_LOADS_S = 9.0
 DISSOLVING_WAIT_S = 1.0
-# Members of a dissolved group that hold its weights wait for a replacement this long,
-# about as long as loading other weights takes, before another model may use them.
-REPAIR_PATIENCE_S = 15.0
+# Members of a dissolved group that hold its weights are not given others to stage for
+# this long, about as long as a load takes.
+KEEP_WEIGHTS_S = 15.0
 
 
 class FormationService:
@@ -369,7 +369,7 @@
         :return: the ids of backend servers that are kept for a group.
         """
         now = self._kernel.clock.time()
-        waiting_ids = self._recently_freed(free)
+        recent_ids = self._recently_freed(free)
         planned_groups = plan_groups(
             service.engine,
             free,
@@ -379,9 +379,9 @@
             group_shares,
             spares=SPARES_PER_DOMAIN,
             now=now,
-            waiting_ids=waiting_ids,
+            regroup_ids=recent_ids,
         )
-        reserved_ids = set(waiting_ids)
+        reserved_ids = set(recent_ids)
         for planned in planned_groups:
             if planned.loads and not self._loads_are_unlimited():
                 self._stage_weights(service, planned, now)
@@ -449,7 +449,7 @@
         return {
             id_
             for id_, since in self._free_since_by_id.items()
-            if now - since < REPAIR_PATIENCE_S
+            if now - since < KEEP_WEIGHTS_S
         }
 
     def _advance(self, forming, group):
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -53,7 +53,10 @@
 # A daemon that has just started asks relays for its first copy of a collection until
 # then, and afterwards the store.
 BOOTSTRAP_LIMIT_S = 2.5
-BOOTSTRAP_RETRY_S = 0.15
+BOOTSTRAP_RETRY_S = 0.05
+# In a fleet no larger than this, daemons that start again read the store at once:
+# callers wait for them, and their calls are few.
+MAX_DIRECT_STARTS = 20
 
 
 class Subscription:
@@ -217,7 +220,7 @@
         try:
             async with clock.timeout(max(0.0, ends_at - clock.time())):
                 await self._daemons_listed.wait()
-                while not self._daemons.is_relay() and not self._is_leader():
+                while not self._reads_first_copy_from_store():
                     for address in self._daemons.relay_addresses():
                         try:
                             return await self._read_relay(address, subscription, None)
@@ -229,6 +232,14 @@
         subscription.reads_store = True
         return await self._read_store(subscription.collection, None, CATCH_UP_WAIT_S)
 
+    def _reads_first_copy_from_store(self):
+        starts_again = not self._is_first_start
+        return (
+            self._daemons.is_relay()
+            or self._is_leader()
+            or (starts_again and self._daemons.count <= MAX_DIRECT_STARTS)
+        )
+
     async def _read_daemons_first(self):
         if self._is_first_start:
             spread_s = REGISTRATION_SPREAD_S * self._kernel.random.random()
