Load weights first only where another group of the model can use the members

Cause: loading before the join delays a group by the join itself (1.1 to 1.6 s). Change: members stay free while weights load only if their domain has another group of the model, or if one of them loads already.

--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -245,7 +245,15 @@
             configured_group_shares(service.engine),
             spares=SPARES_PER_DOMAIN,
         )
-        reserved_ids = self._form(service, free, counts, targets, group_shares)
+        served = {
+            (member.domain, group.model)
+            for key, group in groups.items()
+            if key in models_by_key
+            for member in group.members_by_rank.values()
+        }
+        reserved_ids = self._form(
+            service, free, counts, targets, group_shares, served=served
+        )
         spares = [backend for backend in free if backend.id not in reserved_ids]
         self._stage_weights_on_spares(service, spares, groups)
 
@@ -360,12 +368,14 @@
                 continue
             self._orders.send(member, LeaveGroup(group.name, group.epoch))
 
-    def _form(self, service, free, counts, targets, group_shares):
+    def _form(self, service, free, counts, targets, group_shares, *, served):
         """Form the planned groups; load weights for those that lack some.
 
-        The members of a group that lacks weights stay free while these load, so that
-        those who hold them can replace a member that another group loses meanwhile.
+        The members of a group that lacks weights stay free while these load, if their
+        fabric domain has another group of the model: those who hold the weights can
+        replace a member that it loses meanwhile.
 
+        :param served: pairs of a fabric domain and a model that has a group there.
         :return: the ids of backend servers that are kept for a group.
         """
         now = self._kernel.clock.time()
@@ -384,9 +394,14 @@
         reserved_ids = set(recent_ids)
         for planned in planned_groups:
             if planned.loads and not self._loads_are_unlimited():
-                self._stage_weights(service, planned, now)
                 reserved_ids.update(member.id for member in planned.members)
-                continue
+                if self._loads_first(planned, served, now):
+                    self._stage_weights(service, planned, now)
+                    continue
+                if not self._limiter.admit_group(
+                    service.engine, planned.loads, now, load_s=planned.model.load_s
+                ):
+                    continue
             self._epoch_count += 1
             epoch = self._term * EPOCHS_PER_TERM + self._epoch_count
             name = group_name(planned.model.name, epoch)
@@ -410,6 +425,13 @@
             self._advance(forming, None)
         return reserved_ids
 
+    def _loads_first(self, planned, served, now):
+        """Return whether the members of ``planned`` load weights before they join."""
+        name = planned.model.name
+        return (planned.members[0].domain, name) in served or any(
+            self._weights.loading(member, now) == name for member in planned.members
+        )
+
     def _stage_weights(self, service, planned, now):
         """Order the members of ``planned`` that lack the weights to load them.
 
