Split the loads of weights from formation, and the platform's steps by subject

Change: WeightLoads decides loads and staging; steps for requests and for groups have modules of their own. No decision changes.

--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -8,7 +8,7 @@
 from pimentogap.formation._absences import AbsenceProber
 from pimentogap.formation._demand import DemandMeter
 from pimentogap.formation._forming import FormingGroup
-from pimentogap.formation._limiter import LoadLimiter
+from pimentogap.formation._loads import WeightLoads
 from pimentogap.formation._losses import LossDetector
 from pimentogap.formation._orders import OrderSender
 from pimentogap.formation._plan import (
@@ -17,8 +17,6 @@
     plan_groups,
     target_counts,
 )
-from pimentogap.formation._staging import choose_staging
-from pimentogap.formation._weights import HostWeights
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
@@ -27,7 +25,6 @@
     LeaveGroup,
     MemberState,
     OpenGroup,
-    StageWeights,
 )
 
 log = Logger("formation")
@@ -43,10 +40,6 @@
 EPOCHS_PER_TERM = 100000
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
 LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
-# At the first start of the fleet, the leader does not limit loads for this long after
-# its own start, or until a daemon has admitted a request: loads before the first one
-# take a tenth of the time and do not count against the platform's limits.
-UNLIMITED_LOADS_S = 9.0
 DISSOLVING_WAIT_S = 1.0
 # Members of a dissolved group that hold its weights are not given others to stage for
 # this long, about as long as a load takes.
@@ -71,21 +64,18 @@
         "_lease",
         "_directory",
         "_configuration",
-        "_limiter",
         "_term",
         "_term_since",
         "_epoch_count",
         "_forming_by_key",
         "_orders",
-        "_weights",
         "_losses",
         "_absences",
         "_present_by_id",
         "_free_since_by_id",
         "_dissolving_since_by_key",
         "_demand",
-        "_started_at",
-        "_has_traffic",
+        "_loads",
         "_list_size",
         "_list_size_since",
     )
@@ -102,10 +92,7 @@
         self._directory = None
         self._configuration = None
         self._demand = None
-        self._limiter = LoadLimiter(settings.load_window_s)
-        self._weights = HostWeights()
-        self._started_at = 0.0
-        self._has_traffic = False
+        self._loads = WeightLoads(settings)
         self._list_size = 0
         self._list_size_since = 0.0
         self._term = 0
@@ -114,10 +101,10 @@
     def _start_term(self, term, now):
         self._term = term
         self._term_since = now
-        self._limiter.begin_term(now)
         self._epoch_count = 0
         self._forming_by_key = {}
         self._orders = OrderSender(self._kernel, self._engines, term)
+        self._loads.begin_term(term, self._orders)
         self._losses = LossDetector(self._kernel, self._engines)
         self._absences = AbsenceProber(self._kernel, self._engines)
         self._present_by_id = {}
@@ -128,7 +115,7 @@
     async def start(self, kernel):
         """Start the task that forms and repairs groups while the lease is held."""
         self._kernel = kernel
-        self._started_at = kernel.clock.time()
+        self._loads.start(kernel.clock)
         self._lease = kernel.get("lease")
         self._directory = kernel.get("directory")
         self._configuration = kernel.get("serving_configuration")
@@ -144,7 +131,7 @@
 
     def record_first_request(self):
         """Limit loads of weights from now on, since callers send requests."""
-        self._has_traffic = True
+        self._loads.record_first_request()
 
     async def _run(self):
         clock = self._kernel.clock
@@ -255,7 +242,7 @@
             service, free, counts, targets, group_shares, served=served
         )
         spares = [backend for backend in free if backend.id not in reserved_ids]
-        self._stage_weights_on_spares(service, spares, groups)
+        self._loads.stage_on_spares(service, spares, groups.values())
 
     def _dissolving_domains(self, groups, now):
         """Return the domains in which members are just leaving a dissolved group.
@@ -279,7 +266,7 @@
             membership = backend.membership
             if membership is not None and membership.state in LOADED_STATES:
                 model = membership.group.partition(MODEL_SEPARATOR)[0]
-                self._weights.record_served(backend, model)
+                self._loads.weights.record_served(backend, model)
 
     def _reconcile_group(self, service, key, group, specs):
         """Open a complete group; adopt or dissolve an incomplete one.
@@ -325,7 +312,7 @@
             and spec.name not in item.staged
             for item in members
         )
-        self._limiter.record_running_loads(loading, now, load_s=spec.load_s)
+        self._loads.record_running(loading, spec.load_s)
         forming = FormingGroup(
             service.name,
             spec,
@@ -384,7 +371,7 @@
             service.engine,
             free,
             counts,
-            self._weights,
+            self._loads.weights,
             targets,
             group_shares,
             spares=SPARES_PER_DOMAIN,
@@ -393,15 +380,14 @@
         )
         reserved_ids = set(recent_ids)
         for planned in planned_groups:
-            if planned.loads and not self._loads_are_unlimited():
-                reserved_ids.update(member.id for member in planned.members)
-                if self._loads_first(planned, served, now):
-                    self._stage_weights(service, planned, now)
-                    continue
-                if not self._limiter.admit_group(
-                    service.engine, planned.loads, now, load_s=planned.model.load_s
-                ):
-                    continue
+            reserved_ids.update(member.id for member in planned.members)
+            if self._loads.come_first(planned, served):
+                self._loads.load_for_group(
+                    service, planned, list_revision=self._directory.revision
+                )
+                continue
+            if not self._loads.admit_join(service, planned):
+                continue
             self._epoch_count += 1
             epoch = self._term * EPOCHS_PER_TERM + self._epoch_count
             name = group_name(planned.model.name, epoch)
@@ -425,42 +411,6 @@
             self._advance(forming, None)
         return reserved_ids
 
-    def _loads_first(self, planned, served, now):
-        """Return whether the members of ``planned`` load weights before they join."""
-        name = planned.model.name
-        return (planned.members[0].domain, name) in served or any(
-            self._weights.loading(member, now) == name for member in planned.members
-        )
-
-    def _stage_weights(self, service, planned, now):
-        """Order the members of ``planned`` that lack the weights to load them.
-
-        As many at once as the limits on loads admit for a group.
-        """
-        spec = planned.model
-        order = StageWeights(spec.name)
-        missing = []
-        for member in planned.members:
-            if self._weights.loading(member, now) == spec.name:
-                # Sent again in case the order was lost; it changes nothing otherwise.
-                self._orders.send_again_if_unanswered(member, order)
-            elif self._weights.is_cold(member, spec, now):
-                missing.append(member)
-        if missing and self._limiter.admit_group(
-            service.engine, len(missing), now, load_s=spec.load_s
-        ):
-            for member in missing:
-                self._weights.record_load(member, spec, now)
-                self._orders.send(member, order)
-            log.info(
-                "loading weights for a group",
-                model=spec.name,
-                loading=[member.id for member in missing],
-                members=[member.id for member in planned.members],
-                list_rev=self._directory.revision,
-                term=self._term,
-            )
-
     def _recently_freed(self, free):
         """Return the ids of ``free`` that hold weights and became free lately."""
         now = self._kernel.clock.time()
@@ -514,47 +464,3 @@
             ):
                 self._orders.send(backend, join)
         return True
-
-    def _admit_staging(self, service, load_s):
-        now = self._kernel.clock.time()
-        return self._loads_are_unlimited() or self._limiter.admit_staging(
-            service.engine, now, load_s=load_s
-        )
-
-    def _loads_are_unlimited(self):
-        age_s = self._kernel.clock.time() - self._started_at
-        return (
-            self._settings.first_start
-            and age_s < UNLIMITED_LOADS_S
-            and not self._has_traffic
-        )
-
-    def _stage_weights_on_spares(self, service, free, groups):
-        """Order spares to load the weights that the next repair is likely to need."""
-        forming = {id_ for f in self._forming_by_key.values() for id_ in f.members}
-        spares_by_domain = {}
-        for backend in free:
-            if backend.id not in forming and backend.membership is None:
-                spares_by_domain.setdefault(backend.domain, []).append(backend)
-        specs_by_name = {spec.name: spec for spec in service.engine.models}
-        for domain, spares in spares_by_domain.items():
-            members = Counter(
-                group.model
-                for group in groups.values()
-                for item in group.members_by_rank.values()
-                if item.domain == domain
-            )
-            # The 0.5 lets a model without a group in the domain get spares, too.
-            weights = {
-                name: (members[name] + 0.5) * spec.load_s
-                for name, spec in specs_by_name.items()
-            }
-            now = self._kernel.clock.time()
-            loading_by_id = {
-                item.id: self._weights.loading(item, now) for item in spares
-            }
-            for backend, model in choose_staging(spares, loading_by_id, weights):
-                spec = specs_by_name[model]
-                if self._admit_staging(service, spec.load_s):
-                    self._weights.record_load(backend, spec, now)
-                    self._orders.send(backend, StageWeights(model))
