Update a daemon's object that an earlier life left, and split out when attempts stall

Change: the object is replaced; forwarding/_stalls.py decides when an attempt has stalled, unchanged.

--- a/features/platform/daemons.feature
+++ b/features/platform/daemons.feature
@@ -26,6 +26,12 @@
     And 3 seconds pass
     Then every daemon counts 5 daemons
 
+  Scenario: A daemon that starts again at another address is listed there
+    When a daemon is killed, and its object has another address
+    And the daemon is started again
+    And 3 seconds pass
+    Then every daemon knows its present address
+
   Scenario: A new daemon is counted by all others
     When 2 more daemons are started
     And 3 seconds pass
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -99,6 +99,30 @@
     context.simulation.call_in_loop(lambda: store.remove("daemons", others[0]))
 
 
+@when("a daemon is killed, and its object has another address")
+def when_moved(context):
+    _, others = leader_and_others(context)
+    context.moved = others[-1]
+    fleet = context.simulation.fleet
+    context.simulation.run(fleet.kill_daemon(context.moved))
+    value = {"zone": "z-a", "address": "elsewhere:27002"}
+    context.simulation.call_in_loop(
+        lambda: fleet.store.put("daemons", context.moved, value)
+    )
+
+
+@when("the daemon is started again")
+def when_started_again(context):
+    context.simulation.run(context.simulation.fleet.start_daemon(context.moved))
+
+
+@then("every daemon knows its present address")
+def then_address_known(context):
+    for name, kernel in context.simulation.fleet.kernels_by_name.items():
+        known = kernel.get("daemons").addresses_by_id.get(context.moved)
+        assert known == inner_address(context.moved), (name, known)
+
+
 @when("the calls to the store are counted for {seconds:g} seconds")
 def when_calls_counted(context, seconds):
     before = calls_without_lease(context)
--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -4,9 +4,8 @@
 
 from logbook import Logger
 
-from pimentogap.errors import StoreError
 from pimentogap.kernel import RestartOnError
-from pimentogap.store import Delete, Put, Written
+from pimentogap.store import Conflict, Delete, Put, Written
 
 log = Logger("directory.daemons")
 
@@ -106,27 +105,29 @@
         return stored.version if stored is not None else 0
 
     async def _register(self):
+        """Write this daemon's object, over one that it left in an earlier life."""
+        known_version = 0
         while not self._version:
-            call = Put(self.collection, self._id, self._value)
+            call = Put(self.collection, self._id, self._value, known_version)
             outcome = await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S)
             match outcome:
                 case Written(version):
                     self._version = version
+                case Conflict(current):
+                    known_version = current.version if current is not None else 0
+                    if current is not None and current.value == self._value:
+                        self._version = known_version
                 case _:
-                    await self._read_own_version()
-
-    async def _read_own_version(self):
-        try:
-            stored = await self._store.get(self.collection, self._id)
-            self._version = stored.version if stored else 0
-        except StoreError as error:
-            log.info("daemon not listed yet", error=str(error))
-            await self._kernel.clock.sleep(RETRY_DELAY_S)
+                    log.info("daemon not listed yet", outcome=type(outcome).__name__)
+                    await self._kernel.clock.sleep(RETRY_DELAY_S)
 
     def apply(self, update):
         """Update the list from a `CollectionUpdate` of the daemons' objects."""
+        own = self._stored_by_id.get(self._id)
         if update.is_snapshot:
             self._stored_by_id = {stored.name: stored for stored in update.objects}
+            if own is not None and self._id not in self._stored_by_id:
+                self._register_again_if_removed(own)
         for change in update.changes:
             if change.removed:
                 self._stored_by_id.pop(change.stored.name, None)
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -27,9 +27,9 @@
     admit,
     is_stream,
 )
+from pimentogap.forwarding._stalls import stalled_at
 from pimentogap.metrics import Series
 from pimentogap.placement import Forward, Full, Missing, RetryBudget
-from pimentogap.types import RouteKind
 
 log = Logger("forwarding")
 
@@ -39,25 +39,8 @@
 DEFAULT_DEADLINE_S = 60.0
 # With less time left before the deadline an attempt is of no use, and none is made.
 MIN_ATTEMPT_S = 0.02
-# Stall timeouts of a stream, as multiples of the route's objectives for the first
-# event and for the gap between events, and the least value of either.
-FIRST_EVENT_STALL_FACTOR = 1.0
-GAP_STALL_FACTOR = 1.5
-MIN_STALL_TIMEOUT_S = 0.35
-# The stall timeout of a stream is multiplied by this times the requests per slot, but
-# never shortened: a backend server whose slots are all taken answers later than an
-# idle one. It is not applied to a suspected backend server.
-FULL_LOAD_STALL_FACTOR = 2.0
-# Stall timeout of a stream from a suspected backend server, whatever the route's
-# objectives and the load.
-SUSPECT_STALL_TIMEOUT_S = 0.25
-# A backend server that sent any answer's bytes within this time is working, and
-# the stall timeout is extended up to the factor below.
-RECENT_PROGRESS_S = 0.3
-RECENT_PROGRESS_STALL_FACTOR = 2.5
+# How often a stalled attempt without an alternative looks for one.
 ALTERNATIVE_CHECK_INTERVAL_S = 0.1
-# Stall timeout of an idempotent route, as a multiple of its first-byte objective.
-IDEMPOTENT_STALL_FACTOR = 2.0
 # Attempts allowed beyond the route's maximum, as long as they certainly did not run.
 EXTRA_ATTEMPTS = 2
 # Another daemon can serve the request at once.
@@ -329,48 +312,20 @@
             now = clock.time()
             wake_at = deadline
             if self._can_run_again(route, attempts):
-                stalled_at = self._stalled_at(route, receiver, load, latency, now)
-                wake_at = min(deadline, stalled_at)
+                wake_at = min(deadline, stalled_at(route, receiver, load, latency, now))
             done, _ = await asyncio.wait({exchange}, timeout=max(0.0, wake_at - now))
             if done:
                 return exchange.result()
             now = clock.time()
             if now >= deadline:
                 return TimedOut()
-            if now >= self._stalled_at(route, receiver, load, latency, now):
+            if now >= stalled_at(route, receiver, load, latency, now):
                 silent_s = now - receiver.progress_at
                 if self._has_alternative(request, admitted, attempts, load):
                     latency.record_stall()
                     return Stalled(silent_s)
                 await asyncio.wait({exchange}, timeout=ALTERNATIVE_CHECK_INTERVAL_S)
 
-    def _stalled_at(self, route, receiver, load, latency, now):
-        """Return when an attempt counts as stalled unless more bytes arrive."""
-        if route.kind is RouteKind.IDEMPOTENT:
-            return receiver.progress_at + IDEMPOTENT_STALL_FACTOR * route.first_byte_s
-        if load.is_suspect(now):
-            timeout_s = SUSPECT_STALL_TIMEOUT_S
-        elif receiver.first_event_at is None:
-            least_s = max(
-                MIN_STALL_TIMEOUT_S, FIRST_EVENT_STALL_FACTOR * route.first_byte_s
-            )
-            timeout_s = latency.first_event_timeout_s(least_s, now)
-        else:
-            least_s = max(MIN_STALL_TIMEOUT_S, GAP_STALL_FACTOR * route.max_gap_s)
-            timeout_s = latency.gap_timeout_s(least_s, now)
-        if not load.is_suspect(now):
-            timeout_s *= max(1.0, FULL_LOAD_STALL_FACTOR * load.requests_per_slot(now))
-        stalled_at = receiver.progress_at + timeout_s
-        # A backend server that answers other requests is alive, and this request
-        # may merely be queued there.
-        working_until = load.progress_at + RECENT_PROGRESS_S
-        if stalled_at < working_until:
-            return min(
-                working_until,
-                receiver.progress_at + timeout_s * RECENT_PROGRESS_STALL_FACTOR,
-            )
-        return stalled_at
-
     def _has_alternative(self, request, admitted, attempts, load):
         """Tell whether the budget allows a retry and another backend server suits.
 
