Ask relays also after the first seconds, and ask at once after a pause

Read in the diff; the stand-in for calls between daemons answered without yielding, which hid it. With calls that take time, a paused daemon waited a second for a relay that had no change to tell, and an answer that a relay had sent before the pause counted as news. Change: after the first seconds the ordinary order of sources holds. After a pause only a read that began afterwards counts, and reads don't wait for a change until then; the same while a collection is unavailable. A request waits 1 s, which is longer than the pause between two tries.

--- a/features/platform/daemons.feature
+++ b/features/platform/daemons.feature
@@ -50,6 +50,11 @@
     Then the new daemons know the configuration and the backend servers
     And no new daemon read more of the store than the list of daemons
 
+  Scenario: A daemon that starts without the store gets its copies from a relay, also late
+    When a daemon is started, reaches nobody for 4 seconds, and the store never again
+    And 6 seconds pass
+    Then it knows the configuration and the backend servers
+
   Scenario: The calls to the store do not grow with the number of daemons
     When the calls to the store are counted for 20 seconds
     And 10 more daemons are started
--- a/features/platform/pauses.feature
+++ b/features/platform/pauses.feature
@@ -15,7 +15,7 @@
     When a daemon other than the leader hears nothing, and version 2 removes every key
     And 5 seconds pass unnoticed by it
     And it receives a look-up
-    And 1 seconds pass
+    And 1.1 seconds pass
     Then the answer to the look-up is 503
     When 3 seconds pass
     And it receives a look-up
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -123,6 +123,33 @@
         assert known == inner_address(context.moved), (name, known)
 
 
+@when(
+    "a daemon is started, reaches nobody for {seconds:g} seconds,"
+    " and the store never again"
+)
+def when_started_alone(context, seconds):
+    fleet = context.simulation.fleet
+    context.alone = "front-alone"
+    pairs = {
+        (inner_address(context.alone), inner_address(name))
+        for name in fleet.kernels_by_name
+    }
+    fleet.cut_calls |= pairs
+    context.simulation.run(fleet.start_daemon(context.alone))
+    # It has read the list of daemons by then.
+    context.simulation.wait(1.0)
+    fleet.store.faults.refused_sources.add(context.alone)
+    context.simulation.wait(seconds - 1.0)
+    fleet.cut_calls -= pairs
+
+
+@then("it knows the configuration and the backend servers")
+def then_alone_ready(context):
+    kernel = context.simulation.fleet.kernels_by_name[context.alone]
+    assert kernel.get("serving_configuration").current is not None
+    assert kernel.get("directory").loaded
+
+
 @when("the calls to the store are counted for {seconds:g} seconds")
 def when_calls_counted(context, seconds):
     before = calls_without_lease(context)
--- a/pimentogap/pauses/_service.py
+++ b/pimentogap/pauses/_service.py
@@ -10,8 +10,9 @@
 # A process that did not run for this long may have missed a configuration that is in
 # force everywhere else. A busy one is late by less.
 PAUSE_S = 2.0
-# A request that finds the daemon out of date waits this long for news.
-MAX_HOLD_S = 0.6
+# A request that finds the daemon out of date waits this long for news; a daemon that
+# lost its relay and the store tries again within 0.65 s.
+MAX_HOLD_S = 1.0
 # Without news the daemon goes on with what it knows, as it does without the store.
 MAX_DOUBT_S = 3.0
 CHECK_INTERVAL_S = 0.02
@@ -68,8 +69,7 @@
         relay = self._kernel.get("relay")
         in_doubt_s = self._kernel.clock.time() - resumed_at
         confirmed = all(
-            relay.confirmed_at(collection) > resumed_at
-            for collection in self._collections
+            relay.has_news(collection, resumed_at) for collection in self._collections
         )
         if confirmed or in_doubt_s >= MAX_DOUBT_S:
             self._resumed_at = None
@@ -83,6 +83,7 @@
         self._ticked_at = now
         if paused_s >= PAUSE_S:
             self._resumed_at = self._kernel.clock.time()
+            self._kernel.get("relay").require_news(self._resumed_at)
             log.warning("process was paused", paused_s=round(paused_s, 3))
 
     async def _tick(self):
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -71,6 +71,7 @@
         "cooldown_until_by_relay",
         "reads_store",
         "confirmed_at",
+        "read_began_at",
         "watch_wait_s",
         "answers_by_since",
         "answers_until",
@@ -86,6 +87,7 @@
         self.cooldown_until_by_relay = {}
         self.reads_store = False
         self.confirmed_at = -math.inf
+        self.read_began_at = -math.inf
         self.answers_by_since = {}
         self.answers_until = 0.0
 
@@ -113,6 +115,7 @@
         "_is_first_start",
         "_started_at",
         "_daemons_listed",
+        "_news_needed_since",
     )
 
     def __init__(self, *, first_start=False):
@@ -123,6 +126,7 @@
         self._is_first_start = first_start
         self._started_at = 0.0
         self._daemons_listed = asyncio.Event()
+        self._news_needed_since = -math.inf
         self._kernel = None
         self._store = None
         self._calls = None
@@ -157,9 +161,23 @@
             self.name, self._follow, subscription, on_error=RestartOnError()
         )
 
-    def confirmed_at(self, collection):
-        """Return when ``collection`` was last read, by the clock of the runtime."""
-        return self._subscriptions_by_collection[collection].confirmed_at
+    def require_news(self, since):
+        """Read each collection again without waiting, as of ``since`` or later."""
+        self._news_needed_since = since
+
+    def has_news(self, collection, since):
+        """Return whether ``collection`` was read by a call that began after ``since``.
+
+        :param since: seconds of the runtime's clock.
+        """
+        return self._subscriptions_by_collection[collection].read_began_at > since
+
+    def _may_wait(self, subscription):
+        """Return whether a read may wait for a change."""
+        return (
+            subscription.unavailable_since is None
+            and subscription.read_began_at > self._news_needed_since
+        )
 
     def _apply_daemons(self, update):
         self._daemons.apply(update)
@@ -171,9 +189,11 @@
         revision = None
         while True:
             try:
+                began_at = clock.time()
                 update = await self._read(subscription, revision)
                 revision = update.revision
                 subscription.confirmed_at = clock.time()
+                subscription.read_began_at = began_at
                 self._apply(subscription, update)
                 delay_s = RETRY_DELAY_S
                 await clock.sleep(
@@ -193,11 +213,11 @@
 
     async def _read(self, subscription, revision):
         """Return the next `CollectionUpdate`, from a relay or else from the store."""
-        if not subscription.changes.revision:
+        if not subscription.changes.revision and self._bootstrap_remaining_s() > 0:
             return await self._read_first(subscription)
         address = self._choose_relay(subscription)
         subscription.reads_store = address is None
-        may_wait = subscription.unavailable_since is None
+        may_wait = self._may_wait(subscription)
         if address is not None:
             try:
                 return await self._read_relay(address, subscription, revision)
@@ -216,9 +236,8 @@
         clock = self._kernel.clock
         if subscription.collection == self._daemons.collection:
             return await self._read_daemons_first()
-        ends_at = self._started_at + BOOTSTRAP_LIMIT_S
         try:
-            async with clock.timeout(max(0.0, ends_at - clock.time())):
+            async with clock.timeout(self._bootstrap_remaining_s()):
                 await self._daemons_listed.wait()
                 while not self._reads_first_copy_from_store():
                     for address in self._daemons.relay_addresses():
@@ -232,6 +251,9 @@
         subscription.reads_store = True
         return await self._read_store(subscription.collection, None, CATCH_UP_WAIT_S)
 
+    def _bootstrap_remaining_s(self):
+        return self._started_at + BOOTSTRAP_LIMIT_S - self._kernel.clock.time()
+
     def _reads_first_copy_from_store(self):
         starts_again = not self._is_first_start
         return (
@@ -287,7 +309,7 @@
             "collection": subscription.collection,
             "since": revision,
             "from_relay": is_relay,
-            "wait_s": LEADER_WAIT_S if is_relay else RELAY_WAIT_S,
+            "wait_s": self._relay_wait_s(subscription),
         }
         if revision is None:
             timeout_s = RELAY_SNAPSHOT_TIMEOUT_S
@@ -368,6 +390,11 @@
                 return {}
         return self._shared_answer(subscription, since)
 
+    def _relay_wait_s(self, subscription):
+        if not self._may_wait(subscription):
+            return CATCH_UP_WAIT_S
+        return LEADER_WAIT_S if self._daemons.is_relay() else RELAY_WAIT_S
+
     def _may_answer(self, subscription, *, from_relay):
         if subscription.reads_store:
             return True
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -134,6 +134,7 @@
         handler = self._call_handlers_by_address.get(address)
         if handler is None or (self._own_address, address) in self._cut_calls:
             raise PeerUnreachable(address)
+        await asyncio.sleep(CONNECT_DELAY_S)
         answer = await handler(service, body)
         if not isinstance(answer, SharedAnswer):
             answer = SharedAnswer(answer)
