--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -80,7 +80,7 @@
             log.info("daemon deregistration ended", outcome=type(outcome).__name__)
 
     def is_relay(self):
-        """Return whether this daemon reads the store on behalf of others."""
+        """Return whether this daemon passes collections on to others of its zone."""
         return not self._relay_ids or self._id in self._relay_ids
 
     def is_candidate(self):
@@ -95,7 +95,7 @@
         """Return the addresses of the relays, in the order in which to ask them.
 
         The relays of the daemon's own availability zone come first. A relay gets an
-        empty tuple, because it reads the store itself.
+        empty tuple, because it asks the leader or the store.
         """
         return () if self.is_relay() else self._relay_addresses
 
