--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -50,6 +50,8 @@
 # Callers read these statuses as "not run", so the failure of a request that ran is
 # answered with 502 instead.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Parts of a request's prompt in a log line.
+MAX_LOGGED_PARTS = 8
 
 
 class ForwardingService:
@@ -272,7 +274,7 @@
             attempts.possible_runs -= 1
         if attempts.first_event_at is None:
             attempts.first_event_at = receiver.first_event_at
-        self._update_health(backend, load, outcome)
+        self._update_health(request, backend, load, outcome, receiver)
         return outcome
 
     async def _exchange(self, request, admitted, attempts, backend, deadline, receiver):
@@ -346,14 +348,22 @@
                 )
         return False
 
-    def _update_health(self, backend, load, outcome):
+    def _update_health(self, request, backend, load, outcome, receiver):
         now = self._kernel.clock.time()
         match outcome:
             case NotSent() | Lost() | Stalled() | TimedOut():
                 load.suspect(now)
                 # Idle connections to it may be dead as well.
                 self._pool.close_idle(backend.address)
-                log.info("backend suspect", backend=backend.id, outcome=repr(outcome))
+                log.info(
+                    "backend suspect",
+                    backend=backend.id,
+                    incarnation=backend.incarnation,
+                    outcome=repr(outcome),
+                    id=request.needs.attempt_id,
+                    begun=receiver.first_event_at is not None,
+                    parts=request.needs.shared_parts[:MAX_LOGGED_PARTS],
+                )
                 self._raise_alarm(backend)
             case NotRun(status=421):
                 load.suspect(now)
@@ -446,6 +456,7 @@
             service=service,
             workspace=workspace,
             model=request.needs.model or None,
+            parts=request.needs.shared_parts[:MAX_LOGGED_PARTS],
             outcome=outcome,
             status=status,
             ms=round(took_s * 1000),
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -1,5 +1,7 @@
 """Decodes and encodes the platform's headers of requests and answers."""
 
+import hashlib
+
 from pimentogap.types import BackendAnswer, EngineLoad, RequestNeeds
 
 ATTEMPT_ID = "X-Pimentogap-Attempt-Id"
@@ -10,11 +12,13 @@
 LOAD = "X-Pimentogap-Replica-Load"
 SEAL = "X-Pimentogap-Replica-Seal"
 MODEL = "X-Pimentogap-Model"
+PROMPT_PARTS = "X-Pimentogap-Prompt-Prefix"
 FAULTY_SERVER = "At-Server"
 LAST_EVENT = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 BEARER_PREFIX = "bearer "
 MS_PER_S = 1000
+MAX_PART_ID_CHARS = 40
 
 # Hop-by-hop headers, and headers that the daemon sets itself.
 DROPPED_FROM_REQUEST = frozenset(
@@ -56,6 +60,7 @@
             key=_bearer_token(headers.get(AUTHORIZATION, "")),
             model=headers.get(MODEL, ""),
             last_event_id=_int_or_none(headers.get(LAST_EVENT)),
+            shared_parts=_shared_parts(headers.get(PROMPT_PARTS)),
         )
 
     def decode_attempt_id(self, headers):
@@ -140,6 +145,22 @@
     return None
 
 
+def _shared_parts(text):
+    """Return the ids in ``ID:TOKENS,ID:TOKENS,...`` but the last, the request's own.
+
+    An id of more than `MAX_PART_ID_CHARS` is represented by a digest.
+    """
+    entries = (text or "").split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(dict.fromkeys(_bounded_id(id_) for id_ in ids if id_))
+
+
+def _bounded_id(id_):
+    if len(id_) <= MAX_PART_ID_CHARS:
+        return id_
+    return hashlib.sha256(id_.encode()).hexdigest()[:MAX_PART_ID_CHARS]
+
+
 def _engine_load(text):
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -172,6 +172,8 @@
 
     ``key`` is the caller's key. ``deadline_s`` is the time left for the request,
     and ``last_event_id`` the last event that the caller has of a stream.
+    ``shared_parts`` are the ids of the parts of its prompt that other requests may
+    have as well, in order.
     """
 
     attempt_id: str
@@ -179,6 +181,7 @@
     key: str | None = None
     model: str = ""
     last_event_id: int | None = None
+    shared_parts: tuple = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -85,15 +85,20 @@
 
 
 class Request:
-    """One request of a caller, with its response and the task that serves it."""
+    """One request of a caller, with its response and the task that serves it.
 
-    __slots__ = ("id", "response", "task", "daemon")
+    ``sent_at`` is by the loop's clock; ``parts`` are the shared parts of its prompt.
+    """
+
+    __slots__ = ("id", "response", "task", "daemon", "parts", "sent_at")
 
-    def __init__(self, attempt_id, daemon):
+    def __init__(self, attempt_id, daemon, parts, sent_at):
         self.id = attempt_id
         self.response = Response()
         self.task = None
         self.daemon = daemon
+        self.parts = parts
+        self.sent_at = sent_at
 
     def events(self):
         """Return the ids of the events that the caller received, in order."""
@@ -220,27 +225,39 @@
         self.replicas_by_id[id_].is_silent = True
 
     def send_request(
-        self, method, path, *, daemon="front-0", model=LARGE_MODEL, **more_needs
+        self,
+        method,
+        path,
+        *,
+        daemon="front-0",
+        model=LARGE_MODEL,
+        parts=(),
+        **more_needs,
     ):
         """Send a request to ``daemon`` and return the `Request`.
 
         :param model: the model that a streaming request (``/draft/``) names.
+        :param parts: ids of the shared parts of its prompt.
         :param more_needs: fields of `RequestNeeds` that replace the defaults.
         """
         self._request_count += 1
-        request = Request(f"a{self._request_count:04d}", daemon)
+        now = asyncio.get_running_loop().time()
+        request = Request(f"a{self._request_count:04d}", daemon, tuple(parts), now)
         is_streaming = path.startswith("/draft/")
         needs = {
             "attempt_id": request.id,
             "deadline_s": 8.0,
             "key": KEY,
             "model": model if is_streaming else "",
+            "shared_parts": tuple(parts),
             **more_needs,
         }
         headers = [("X-Pimentogap-Attempt-Id", request.id), ("Host", HOST)]
         if is_streaming:
             headers.append(("X-Pimentogap-Model", model))
             headers.append(("X-Pimentogap-Token-Count", "1400,135"))
+            prompt = ",".join(f"{id_}:100" for id_ in (*parts, request.id))
+            headers.append(("X-Pimentogap-Prompt-Prefix", prompt))
         call = CallerRequest(
             method=method,
             path=path,
@@ -248,7 +265,7 @@
             headers=headers,
             body=b"",
             needs=RequestNeeds(**needs),
-            received_at=asyncio.get_running_loop().time(),
+            received_at=now,
         )
         call.response = request.response
         forwarding = self.kernels_by_name[daemon].get("forwarding")
@@ -268,6 +285,7 @@
             and replica.place.state == "open"
             and replica.place.model == model
             and not replica.is_silent
+            and not replica.is_down
         ]
 
     def leader_names(self):
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -92,7 +92,7 @@
     async def _deliver(self, address, request, receiver):
         await asyncio.sleep(CONNECT_DELAY_S)
         handler = self._network.handlers_by_address.get(address)
-        if handler is None:
+        if handler is None or getattr(handler, "is_down", False):
             raise ConnectionFailed(f"no connection to {address}")
         reply = _Reply(self._network, (self._source, address), receiver)
         try:
--- a/standins/emulator/_records.py
+++ b/standins/emulator/_records.py
@@ -13,6 +13,25 @@
     started_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached the head of an open group, and its prompt's parts."""
+
+    attempt_id: str
+    replica: str
+    parts: tuple
+    arrived_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A replica that ended as it began to write an answer on a deadly part."""
+
+    replica: str
+    part: str
+    at: float
+
+
 class Records:
     """Requests run, weights loaded, and every violation of a guarantee about groups.
 
@@ -25,7 +44,8 @@
     ``ready_members`` holds the replica, group, epoch and member list of each replica
     that ever became ready. ``loads`` has the start of each load of weights by the
     loop's clock, in s; ``max_concurrent_loads`` is the highest ``loads_in_progress``
-    so far.
+    so far. ``arrivals`` has an `Arrival` for each request that a model replica took,
+    ``crashes`` a `Crash` for each replica that a deadly part ended.
     """
 
     __slots__ = (
@@ -37,6 +57,8 @@
         "loads",
         "loads_in_progress",
         "max_concurrent_loads",
+        "arrivals",
+        "crashes",
     )
 
     def __init__(self):
@@ -48,6 +70,8 @@
         self.loads = []
         self.loads_in_progress = 0
         self.max_concurrent_loads = 0
+        self.arrivals = []
+        self.crashes = []
 
     def runs_of(self, attempt_id):
         """Return the runs of one attempt of a caller."""
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -5,7 +5,7 @@
 import random
 
 from standins._network import AbandonConnection, split_path
-from standins.emulator._records import Run
+from standins.emulator._records import Arrival, Crash, Run
 
 REJOIN_SAME_MODEL_S = 0.2
 # Multiplies the load time until the first request runs.
@@ -15,6 +15,7 @@
 # Longer than any client waits for an answer.
 TRICKLE_INTERVAL_S = 0.1
 SILENCE_S = 3600.0
+CRASHED_FOR_S = 3.0
 
 
 class Place:
@@ -40,7 +41,9 @@
     ``order_delays_s`` maps an operation to the seconds by which its orders are
     delayed. ``slow_factor`` multiplies the time that any work of the replica's group
     takes. After ``trickles_after`` events, if that is set, a stream goes on with a
-    part of an event each `TRICKLE_INTERVAL_S` and never completes it.
+    part of an event each `TRICKLE_INTERVAL_S` and never completes it. A request with
+    one of the ``deadly_parts`` in its prompt crashes the replica when it begins to run;
+    while ``is_down``, until the replica is back, nothing listens on its address.
     """
 
     __slots__ = (
@@ -60,6 +63,8 @@
         "order_delays_s",
         "slow_factor",
         "trickles_after",
+        "deadly_parts",
+        "is_down",
         "running",
         "slots",
         "_store",
@@ -104,6 +109,8 @@
         self.order_delays_s = {}
         self.slow_factor = 1.0
         self.trickles_after = None
+        self.deadly_parts = ()
+        self.is_down = False
         self.slots = engine["slots"]
         self.staged = []
         self._store = store
@@ -122,6 +129,7 @@
         Only the staged weights and the faults outlast the restart.
         """
         self.stop_tasks()
+        self.is_down = False
         self.born += 1
         self.seq = 0
         self.state = "ready"
@@ -132,6 +140,20 @@
         self._last_model = None
         self.publish()
 
+    def crash(self, *, down_s=CRASHED_FOR_S):
+        """End every request and order at once, and restart ``down_s`` seconds later."""
+        self.stop_tasks()
+        self.is_down = True
+        self.place = None
+        self.born += 1
+        self._start_task(self._restart_after(down_s))
+
+    async def _restart_after(self, down_s):
+        await asyncio.sleep(down_s)
+        # This task must not cancel itself, as `restart` would.
+        self._tasks.discard(asyncio.current_task())
+        self.restart()
+
     def stop_tasks(self):
         """Cancel all loads and orders in progress."""
         for task in self._tasks:
@@ -140,7 +162,7 @@
 
     def publish(self):
         """Write the replica's entry to the store, if the store can be reached."""
-        if not self.cut_from_store and not self.is_silent:
+        if not self.cut_from_store and not self.is_silent and not self.is_down:
             self._store.put("servers", self.id, self.entry())
 
     def entry(self):
@@ -377,7 +399,11 @@
         attempt_id = headers.get("x-pimentogap-attempt-id", "")
         prompt, output = headers["x-pimentogap-token-count"].split(",")
         first = int(headers.get("last-event-id", "0")) + 1
+        parts = _prompt_parts(headers)
+        arrived_at = asyncio.get_running_loop().time()
+        self._records.arrivals.append(Arrival(attempt_id, self.id, parts, arrived_at))
         await self._simulate_work(place, int(prompt) / self._engine["read_per_s"])
+        self._crash_if_deadly(parts)
         self._record_if_incomplete(place)
         now = asyncio.get_running_loop().time()
         workspace = headers.get("x-pimentogap-tenant")
@@ -399,6 +425,14 @@
             await self._simulate_work(place, step_s)
             await reply.data(f"id: {number}\ndata: {attempt_id}/{number}\n\n".encode())
 
+    def _crash_if_deadly(self, parts):
+        for part in parts:
+            if part in self.deadly_parts:
+                now = asyncio.get_running_loop().time()
+                self._records.crashes.append(Crash(self.id, part, now))
+                self.crash()
+                raise AbandonConnection
+
     async def _trickle(self, reply):
         """Send parts of an event that never ends, until the caller closes."""
         while True:
@@ -410,8 +444,9 @@
 
         If a member is lost, the group stalls and breaks instead, as on the platform.
 
-        :raises AbandonConnection: if a member is lost.
+        :raises AbandonConnection: if a member is lost, or the replica has crashed.
         """
+        born = self.born
         members = [self._peers_by_id.get(id_) for id_ in place.members]
         if any(not self._is_in_group(member, place) for member in members):
             await asyncio.sleep(self._engine.get("stallMs", 4000) / 1000)
@@ -421,6 +456,8 @@
             raise AbandonConnection
         pace = max(member.slow_factor for member in members)
         await asyncio.sleep(seconds * pace * (1 + self.running / self.slots))
+        if self.born != born:
+            raise AbandonConnection
         if self.is_silent:
             await asyncio.sleep(SILENCE_S)
 
@@ -453,3 +490,9 @@
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _prompt_parts(headers):
+    """Return the ids of the shared parts of a request's prompt."""
+    entries = headers.get("x-pimentogap-prompt-prefix", "").split(",")[:-1]
+    return tuple(entry.partition(":")[0] for entry in entries)
