Quarantine prompt parts that crash backend servers

Cause: one prompt part crashes each backend server that begins to write on it. Every such request was sent to two servers, no daemon knew of another's losses, and nothing kept the next request away. It is a query of death: a retry, which helps against the fault of a server, spreads the fault of a request.

Ruled out: load (1 to 5 requests waited at the first heads that ended), and callers or first parts (93 requests of the same first part were served meanwhile).

A daemon that loses a server reports the parts of the requests that had no event yet, unless it has seen a part answered. The leader compares the reports: a part that 3 servers ended under, in 2 requests, is written to a list in the store, which every daemon follows through the relays and knows before it is ready. Requests with it are refused as not run, and attempts that wait for their first event are ended. A part that any daemon saw answered is released; others by the trial of one request, after 1 s, then rarely.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -17,7 +17,7 @@
   # replicas.
   Scenario: Sound requests that share the first part are served as others are (LOST)
     Given the part "deadly" crashes each replica that begins to write on it
-    When 30 streams arrive each second for 22 seconds, and 0.05 of them have the part "deadly"
+    When 30 streams arrive each second for 40 seconds, and 0.05 of them have the part "deadly"
     And 8 seconds pass
     Then at least 0.95 of the sound streams of the same first part began at the first attempt from 6 seconds after the last crash that counts
 
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -102,6 +102,7 @@
             self.forwarding,
             Stub("serving_configuration"),
             Stub("directory"),
+            Stub("quarantine"),
             MetricService(),
             self.ingress,
         ):
--- a/pimentogap/forwarding/_attempts.py
+++ b/pimentogap/forwarding/_attempts.py
@@ -7,15 +7,20 @@
     NotRun,
     NotSent,
     Stalled,
+    Withdrawn,
 )
 
+# Parts of a request's prompt in a log line.
+MAX_LOGGED_PARTS = 8
+
 
 class Attempts:
     """The attempts made for one request.
 
     ``outcomes`` has pairs of a backend server's id and the attempt's outcome;
     ``possible_runs`` counts those that may have run, the current one included.
-    ``event_filter`` is the `EventFilter` of a stream, or ``None``.
+    ``event_filter`` is the `EventFilter` of a stream, or ``None``. ``is_trial`` says
+    that the current attempt tries out a quarantined part of the prompt.
     """
 
     __slots__ = (
@@ -24,6 +29,7 @@
         "excluded_ids",
         "event_filter",
         "first_event_at",
+        "is_trial",
     )
 
     def __init__(self, event_filter):
@@ -32,6 +38,7 @@
         self.excluded_ids = set()
         self.event_filter = event_filter
         self.first_event_at = None
+        self.is_trial = False
 
 
 def outcome_name(outcome):
@@ -47,6 +54,8 @@
             return f"stalled {silent_s:.2f}s"
         case Abandoned(after_s):
             return f"abandoned {after_s:.2f}s"
+        case Withdrawn(part):
+            return f"withdrawn: {part}"
     return type(outcome).__name__.lower()
 
 
--- a/pimentogap/forwarding/_outcomes.py
+++ b/pimentogap/forwarding/_outcomes.py
@@ -49,6 +49,13 @@
     silent_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The attempt was ended before its first event, since ``part`` is quarantined."""
+
+    part: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimedOut:
     """The caller's deadline or the route's timeout has passed."""
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -6,7 +6,7 @@
 from logbook import Logger
 
 from pimentogap.errors import ConnectionFailed, ResponseLost
-from pimentogap.forwarding._attempts import Attempts, first_event_ms, outcome_name
+from pimentogap.forwarding._attempts import MAX_LOGGED_PARTS, Attempts
 from pimentogap.forwarding._events import EventFilter
 from pimentogap.forwarding._outcomes import (
     Abandoned,
@@ -17,9 +17,10 @@
     NotSent,
     Stalled,
     TimedOut,
+    Withdrawn,
 )
 from pimentogap.forwarding._receiver import AnswerReceiver
-from pimentogap.forwarding._returns import return_delay_s
+from pimentogap.forwarding._responses import Responder
 from pimentogap.forwarding._routes import (
     STATUS_BY_REASON,
     Admitted,
@@ -28,8 +29,8 @@
     is_stream,
 )
 from pimentogap.forwarding._stalls import stalled_at
-from pimentogap.metrics import Series
 from pimentogap.placement import Forward, Full, Missing, RetryBudget
+from pimentogap.quarantine import Blocked, Trial
 
 log = Logger("forwarding")
 
@@ -47,11 +48,10 @@
 RETRY_AFTER_STOPPING_S = 0.05
 # By then the daemon is up to date, or another one takes the request.
 RETRY_AFTER_PAUSE_S = 0.3
-# Callers read these statuses as "not run", so the failure of a request that ran is
-# answered with 502 instead.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Parts of a request's prompt in a log line.
-MAX_LOGGED_PARTS = 8
+# A prompt part that crashes backend servers does so when it begins to write; one that
+# was written on for this long is sound.
+SURVIVED_S = 0.5
+TRIAL_CHECK_INTERVAL_S = 0.1
 
 
 class ForwardingService:
@@ -65,6 +65,7 @@
         "daemons",
         "metrics",
         "pauses",
+        "quarantine",
     )
     __slots__ = (
         "_pool",
@@ -72,8 +73,8 @@
         "_kernel",
         "_placement",
         "_configuration",
-        "_directory",
-        "_metrics",
+        "_quarantine",
+        "_responder",
         "_budget",
         "_stops_at",
         "_refuse_long_at",
@@ -93,8 +94,8 @@
         self._kernel = None
         self._placement = None
         self._configuration = None
-        self._directory = None
-        self._metrics = None
+        self._quarantine = None
+        self._responder = None
         self._budget = RetryBudget(
             ratio=settings.retry_ratio,
             window_s=settings.retry_window_s,
@@ -110,8 +111,8 @@
         self._kernel = kernel
         self._placement = kernel.get("placement")
         self._configuration = kernel.get("serving_configuration")
-        self._directory = kernel.get("directory")
-        self._metrics = kernel.get("metrics")
+        self._quarantine = kernel.get("quarantine")
+        self._responder = Responder(kernel, self._codec)
 
     async def stop(self):
         """Close idle connections."""
@@ -133,7 +134,7 @@
         self.in_flight += 1
         try:
             if not await self._kernel.get("pauses").wait_until_current():
-                self._refuse(
+                self._responder.refuse(
                     request, None, 503, "paused", retry_after_s=RETRY_AFTER_PAUSE_S
                 )
                 return
@@ -141,10 +142,10 @@
             match admit(configuration, request, self._kernel.random):
                 case Rejected(reason):
                     status = STATUS_BY_REASON[reason]
-                    self._refuse(request, None, status, reason.value)
+                    self._responder.refuse(request, None, status, reason.value)
                 case Admitted() as admitted if self._may_outlast_stop(admitted.route):
                     after_s = RETRY_AFTER_STOPPING_S
-                    self._refuse(
+                    self._responder.refuse(
                         request, admitted, 503, "stopping", retry_after_s=after_s
                     )
                 case Admitted() as admitted:
@@ -170,9 +171,10 @@
         try:
             outcome = await self._try_backends(request, admitted, attempts, deadline)
         except asyncio.CancelledError:
-            self._log(request, admitted, attempts, "caller_left", 0)
+            self._responder.log_end(request, admitted, attempts, "caller_left", 0)
             raise
-        self._respond(request, admitted, attempts, outcome)
+        remaining_s = deadline - self._kernel.clock.time()
+        self._responder.respond(request, admitted, attempts, outcome, remaining_s)
 
     def _deadline(self, request, admitted):
         deadline_s = request.needs.deadline_s or DEFAULT_DEADLINE_S
@@ -197,6 +199,10 @@
                     pass
                 case Full() | Missing():
                     return outcome or choice
+            verdict = await self._screen(request, admitted)
+            if isinstance(verdict, Blocked):
+                return outcome or verdict
+            attempts.is_trial = isinstance(verdict, Trial)
             remaining_s = deadline - self._kernel.clock.time()
             if remaining_s < MIN_ATTEMPT_S:
                 return outcome or TimedOut()
@@ -212,6 +218,11 @@
             if not self._can_try_another(request, admitted.route, attempts, outcome):
                 return outcome
 
+    async def _screen(self, request, admitted):
+        """Return whether the parts of the prompt allow an attempt now."""
+        parts = request.needs.shared_parts
+        return await self._quarantine.screen(admitted.service, parts)
+
     def _has_retry_budget(self, service):
         now = self._kernel.clock.time()
         daemons = self._kernel.get("daemons").count
@@ -220,7 +231,7 @@
     def _can_try_another(self, request, route, attempts, outcome):
         """Tell whether another attempt is allowed and could help after ``outcome``."""
         match outcome:
-            case Delivered() | TimedOut():
+            case Delivered() | TimedOut() | Withdrawn():
                 return False
             case NotSent() | NotRun():
                 return (
@@ -275,6 +286,7 @@
         if attempts.first_event_at is None:
             attempts.first_event_at = receiver.first_event_at
         self._update_health(request, backend, load, outcome, receiver)
+        await self._report_parts(request, admitted, backend, outcome, receiver)
         return outcome
 
     async def _exchange(self, request, admitted, attempts, backend, deadline, receiver):
@@ -315,12 +327,27 @@
             wake_at = deadline
             if self._can_run_again(route, attempts):
                 wake_at = min(deadline, stalled_at(route, receiver, load, latency, now))
-            done, _ = await asyncio.wait({exchange}, timeout=max(0.0, wake_at - now))
-            if done:
+            if attempts.is_trial:
+                self._report_survival(request, admitted, receiver, now)
+                wake_at = min(wake_at, now + TRIAL_CHECK_INTERVAL_S)
+            await asyncio.wait(
+                {exchange, self._quarantine.changed},
+                timeout=max(0.0, wake_at - now),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if exchange.done():
                 return exchange.result()
             now = clock.time()
             if now >= deadline:
                 return TimedOut()
+            if receiver.first_event_at is None and not attempts.is_trial:
+                match self._quarantine.find_blocked(
+                    admitted.service, request.needs.shared_parts
+                ):
+                    case Blocked(key):
+                        return Withdrawn(key)
+            if now < wake_at:
+                continue
             if now >= stalled_at(route, receiver, load, latency, now):
                 silent_s = now - receiver.progress_at
                 if self._has_alternative(request, admitted, attempts, load):
@@ -348,6 +375,31 @@
                 )
         return False
 
+    def _report_survival(self, request, admitted, receiver, now):
+        """Report a trial whose answer goes on, before it is complete."""
+        first_at = receiver.first_event_at
+        if first_at is not None and now - first_at >= SURVIVED_S:
+            parts = request.needs.shared_parts
+            self._quarantine.record_answer(admitted.service, parts)
+
+    async def _report_parts(self, request, admitted, backend, outcome, receiver):
+        """Report what the outcome of an attempt says of the parts of its prompt."""
+        parts = request.needs.shared_parts
+        if not parts or not admitted.route.carries_model:
+            return
+        now = self._kernel.clock.time()
+        first_at = receiver.first_event_at
+        has_survived = first_at is not None and now - first_at >= SURVIVED_S
+        match outcome:
+            case Delivered():
+                self._quarantine.record_answer(admitted.service, parts)
+            case _ if has_survived:
+                self._quarantine.record_answer(admitted.service, parts)
+            case Lost():
+                await self._quarantine.report_lost(
+                    admitted.service, parts, backend, request.needs.attempt_id
+                )
+
     def _update_health(self, request, backend, load, outcome, receiver):
         now = self._kernel.clock.time()
         match outcome:
@@ -379,91 +431,3 @@
         alarms = self._kernel.find("alarms")
         if alarms is not None and backend.membership is not None:
             alarms.suspect(backend)
-
-    def _respond(self, request, admitted, attempts, outcome):
-        """Answer the caller according to the final ``outcome``."""
-        response = request.response
-        match outcome:
-            case Delivered(status):
-                self._log(request, admitted, attempts, "delivered", status)
-            case _ if response.begun:
-                response.abort()
-                self._log(request, admitted, attempts, outcome_name(outcome), 0)
-            case Failure(status, headers, body):
-                if status in NOT_RUN_STATUSES:
-                    self._refuse(
-                        request, admitted, 502, "backend_failed", attempts=attempts
-                    )
-                    return
-                response.begin(status, headers)
-                response.send(body)
-                response.finish()
-                self._log(request, admitted, attempts, "backend_failed", status)
-            case Full():
-                self._refuse_unserved(request, admitted, attempts, "full")
-            case Missing():
-                self._refuse_unserved(request, admitted, attempts, "missing")
-            case NotRun(retry_after_s=after_s):
-                self._refuse_unserved(request, admitted, attempts, "not_run", after_s)
-            case NotSent():
-                self._refuse_unserved(request, admitted, attempts, "not_sent")
-            case TimedOut():
-                status = 504 if attempts.possible_runs else 503
-                self._refuse(request, admitted, status, "timed_out", attempts=attempts)
-            case Lost() | Stalled():
-                self._refuse(
-                    request, admitted, 502, outcome_name(outcome), attempts=attempts
-                )
-
-    def _refuse_unserved(self, request, admitted, attempts, reason, after_s=None):
-        """Refuse with 503, or with 502 if an attempt may have run.
-
-        :param after_s: the backend server's own time to come back, if it gave one.
-        """
-        status = 502 if attempts.possible_runs else 503
-        remaining_s = self._deadline(request, admitted) - self._kernel.clock.time()
-        after_s = after_s or return_delay_s(remaining_s, self._kernel.random)
-        self._refuse(
-            request, admitted, status, reason, attempts=attempts, retry_after_s=after_s
-        )
-
-    def _refuse(
-        self, request, admitted, status, reason, *, attempts=None, retry_after_s=0.0
-    ):
-        headers = self._codec.refusal_headers(
-            request.needs.attempt_id, retry_after_s=retry_after_s
-        )
-        body = f"{reason}\n".encode()
-        headers.append(("Content-Type", "text/plain"))
-        headers.append(("Content-Length", str(len(body))))
-        request.response.begin(status, headers)
-        request.response.send(body)
-        request.response.finish()
-        self._log(request, admitted, attempts, reason, status)
-
-    def _log(self, request, admitted, attempts, outcome, status):
-        now = self._kernel.clock.time()
-        took_s = now - request.received_at
-        service = admitted.service if admitted else "-"
-        workspace = (admitted.workspace if admitted else None) or "-"
-        self._metrics.count(Series("requests", service, workspace, outcome))
-        self._metrics.record_duration(Series("request", service, "-", outcome), took_s)
-        configuration = self._configuration.current
-        log.info(
-            "request ended",
-            id=request.needs.attempt_id,
-            route=admitted.route.name if admitted else None,
-            service=service,
-            workspace=workspace,
-            model=request.needs.model or None,
-            parts=request.needs.shared_parts[:MAX_LOGGED_PARTS],
-            outcome=outcome,
-            status=status,
-            ms=round(took_s * 1000),
-            first_ms=first_event_ms(request, attempts),
-            sends=[(id_, outcome_name(o)) for id_, o in attempts.outcomes]
-            if attempts
-            else [],
-            version=configuration.version if configuration else None,
-            list_rev=self._directory.revision,
-        )
--- a/pimentogap/ingress/_service.py
+++ b/pimentogap/ingress/_service.py
@@ -73,7 +73,13 @@
     """Accepts requests of callers and reports whether the daemon is ready for them."""
 
     name = "ingress"
-    requires = ("forwarding", "serving_configuration", "directory", "metrics")
+    requires = (
+        "forwarding",
+        "serving_configuration",
+        "directory",
+        "quarantine",
+        "metrics",
+    )
     __slots__ = (
         "codec",
         "forwarding",
@@ -81,6 +87,7 @@
         "_settings",
         "_configuration",
         "_directory",
+        "_quarantine",
         "_kernel",
         "_server",
         "_readiness",
@@ -102,6 +109,7 @@
         self._settings = settings
         self._configuration = None
         self._directory = None
+        self._quarantine = None
         self._kernel = None
         self._server = None
         self._readiness = None
@@ -116,6 +124,7 @@
         self.forwarding = kernel.get("forwarding")
         self._configuration = kernel.get("serving_configuration")
         self._directory = kernel.get("directory")
+        self._quarantine = kernel.get("quarantine")
         metrics = kernel.get("metrics")
         self._server = CallerServer(self)
         self._server.add_sockets(_bind(self._settings.caller_address))
@@ -168,6 +177,7 @@
             not self.closing
             and self._configuration.current is not None
             and self._directory.loaded
+            and self._quarantine.loaded
         )
         if ready is not self._was_ready:
             log.notice("readiness", ready=ready, closing=self.closing)
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -43,6 +43,7 @@
         retry_ratio=float(bounds.get("retryBudgetRatio", 0.2)),
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         retry_slack=float(bounds.get("retryBudgetSlack", 0)),
+        react_s=float(bounds.get("stableWindowMs", 3000)) / 1000,
         load_window_s=float(bounds.get("ceilingWindowS", 5)),
         # The share of a core that runs as fast as this many cores.
         cores=float(limits.get("cpuShare") or 1) * float(limits.get("cpuCores") or 1),
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -39,6 +39,7 @@
     decode_configuration,
     load_platform_settings,
 )
+from pimentogap.quarantine import QuarantineService
 from pimentogap.relay import RelayService
 from pimentogap.store import StoreClient
 from pimentogap.web import BackendPool, HttpClient
@@ -125,6 +126,7 @@
         RelayService(first_start=settings.first_start),
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PlacementService(),
+        QuarantineService(settings.react_s),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
         DepartureService(settings.id),
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -12,7 +12,8 @@
     make ``retry_ratio`` second attempts for each request of the last
     ``retry_window_s``, and ``retry_slack`` besides. ``load_window_s`` is the window
     over which the rate of weight loads is limited. ``cores`` and ``link_mbps`` are
-    what the VM gives the daemon.
+    what the VM gives the daemon. ``react_s`` is how soon daemons must act on what
+    they can know, when nothing hinders them.
     """
 
     id: str
@@ -29,6 +30,7 @@
     retry_window_s: float = 10.0
     retry_slack: float = 0.0
     load_window_s: float = 5.0
+    react_s: float = 3.0
     cores: float = 1.0
     link_mbps: float = 1000.0
 
