Believe an answer without an id only as the first on its connection

Reported by other operators: a faulty server writes an earlier refusal once more on a kept connection, and the caller is told that a request has not run which runs. Found here for a refusal that carries no attempt id: it was taken for the answer to whatever request came next on the connection, which was then refused as not run and sent to a second server. Refusals with the id of another request were dropped before, and bookings have a connection of their own; both stay so.

Now an answer without an id on a connection that has carried one counts as lost. answers.feature failed before (NotRun instead of Lost) and passes; it also shows that heads and bodies that break off are lost, that streams without a length are passed on as they come and their connections not kept, and that a second server's error never follows a stream.

--- /dev/null
+++ b/features/platform/answers.feature
@@ -0,0 +1,60 @@
+Feature: Answers of faulty backend servers
+
+  # Guards against: an earlier refusal that is written once more on a kept connection is
+  # taken for the answer to a request that runs.
+  Scenario Outline: An earlier refusal, written once more, is not taken for the answer
+    Given a server that <does> on a kept connection
+    When two attempts are made, the second on the kept connection
+    Then the first outcome is Delivered and the second is <outcome>
+
+    Examples:
+      | does                                              | outcome   |
+      | repeats an earlier refusal before the answer      | Delivered |
+      | repeats an earlier refusal and closes             | Lost      |
+      | repeats an earlier refusal without an id          | Lost      |
+      | repeats an earlier refusal before its own refusal | NotRun    |
+
+  Scenario: A refusal without an id on a new connection is believed
+    Given a server that refuses without an id on a new connection
+    When one attempt is made
+    Then the outcome is NotRun
+
+  # Guards against: an answer whose head was cut off is passed on as a whole one.
+  Scenario Outline: An answer that breaks off in <place> is lost
+    Given a server that closes the connection in <place>
+    When one attempt is made
+    Then the outcome is Lost
+    And the caller got nothing
+
+    Examples:
+      | place                                  |
+      | the status line                        |
+      | a header's name                        |
+      | a header's value                       |
+      | the line end after the last header     |
+      | a body with a length                   |
+      | a chunk                                |
+      | the line before the last chunk         |
+      | an event of a stream without a length  |
+
+  Scenario: A stream without a length is passed on as it arrives, and its connection is not used again
+    Given a server that sends a stream of 3 events without a length, one each 0.3 seconds
+    When one attempt is made
+    Then the outcome is Delivered
+    And the caller got each event within 0.15 seconds after it was sent
+    And no connection is kept
+
+  # Guards against: the error of a second server stands in the middle of a stream that the
+  # first began, or ends it as if it were complete.
+  Scenario Outline: A stream that broke off ends as broken if the next server answers <what>
+    Given a stream that breaks off after 2 events, and a next server that answers <what>
+    When the stream is requested through a daemon
+    Then the caller got 2 events and then the end of the connection, and nothing else
+
+    Examples:
+      | what                              |
+      | an error with a seal              |
+      | an error without a seal           |
+      | a refusal                         |
+      | a plain success without events    |
+      | an error with a body without end  |
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -22,7 +22,7 @@
         self.id = attempt_id
         self.body = b""
 
-    def is_own_answer(self, status, headers):
+    def is_own_answer(self, status, headers, *, is_first):
         return headers.get("Attempt") in (None, self.id)
 
     async def headers_received(self, status, headers):
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -64,9 +64,16 @@
         if event_filter is not None:
             event_filter.discard_partial_event()
 
-    def is_own_answer(self, status, headers):
-        """Tell whether an answer has this request's attempt id, or no id at all."""
+    def is_own_answer(self, status, headers, *, is_first):
+        """Tell whether an answer has this request's attempt id.
+
+        :param is_first: whether nothing was received on the connection before, so that
+            an answer without an id can only be this request's.
+        :raises ResponseLost: if any earlier request's answer might be repeated.
+        """
         attempt_id = self._codec.decode_answer(status, headers).attempt_id
+        if attempt_id is None and not is_first:
+            raise ResponseLost("an answer without an id on a kept connection")
         return attempt_id is None or attempt_id == self._request.needs.attempt_id
 
     async def headers_received(self, status, headers):
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -30,6 +30,7 @@
     __slots__ = (
         "receiver",
         "stream",
+        "is_first",
         "began",
         "owned",
         "finished",
@@ -38,9 +39,14 @@
         "_stray_bytes",
     )
 
-    def __init__(self, receiver, stream):
+    def __init__(self, receiver, stream, *, is_first):
+        """Pass on an answer.
+
+        :param is_first: whether it is the first answer on its connection.
+        """
         self.receiver = receiver
         self.stream = stream
+        self.is_first = is_first
         self.began = False
         self.owned = True
         self.finished = False
@@ -54,7 +60,9 @@
             return
         self.idle_limit_s = _idle_limit_s(headers)
         try:
-            self.owned = self.receiver.is_own_answer(start_line.code, headers)
+            self.owned = self.receiver.is_own_answer(
+                start_line.code, headers, is_first=self.is_first
+            )
             if self.owned:
                 await self.receiver.headers_received(start_line.code, headers)
         except Exception as error:
@@ -98,9 +106,10 @@
 class BackendPool:
     """Sends requests to backend servers and keeps idle connections for later ones.
 
-    A receiver is an object with ``is_own_answer(status, headers)``, which returns
-    whether an answer belongs to its request, and the coroutine functions
-    ``headers_received(status, headers)`` and ``data_received(chunk)``.
+    A receiver is an object with ``is_own_answer(status, headers, is_first)``, which
+    returns whether an answer belongs to its request, and the coroutine functions
+    ``headers_received(status, headers)`` and ``data_received(chunk)``. ``is_first``
+    says that nothing was received on the connection before.
     """
 
     __slots__ = ("_idle_by_address", "_parameters", "connections_opened")
@@ -143,6 +152,11 @@
             else:
                 stream.close()
 
+    @property
+    def idle_count(self):
+        """Return how many idle connections are kept."""
+        return sum(len(idle) for idle in self._idle_by_address.values())
+
     def close_idle(self, address):
         """Close the idle connections to ``address``."""
         for idle in self._idle_by_address.pop(address, ()):
@@ -156,7 +170,7 @@
 
     async def _transfer(self, stream, line, fields, body, receiver, reused):
         connection = HTTP1Connection(stream, True, self._parameters)
-        delegate = _AnswerDelegate(receiver, stream)
+        delegate = _AnswerDelegate(receiver, stream, is_first=not reused)
         try:
             # Not awaited: an answer may come before the whole body is sent.
             connection.write_headers(line, fields, body or None)
@@ -182,7 +196,7 @@
     async def _read_next(self, stream, receiver):
         connection = HTTP1Connection(stream, True, self._parameters)
         connection.finish()
-        delegate = _AnswerDelegate(receiver, stream)
+        delegate = _AnswerDelegate(receiver, stream, is_first=False)
         await connection.read_response(delegate)
         return delegate
 
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -38,11 +38,13 @@
     """Receives the answer to one request, in place of a caller's connection.
 
     ``write_times`` has the time of each streamed part of the body, by the loop's clock,
-    and ``is_finished`` is set once the answer is complete.
+    and ``is_finished`` is set once the answer is complete. ``heads`` counts the status
+    lines, of which an answer has one.
     """
 
     __slots__ = (
         "begun",
+        "heads",
         "is_finished",
         "aborted",
         "status",
@@ -53,6 +55,7 @@
 
     def __init__(self):
         self.begun = False
+        self.heads = 0
         self.is_finished = False
         self.aborted = False
         self.status = None
@@ -63,6 +66,7 @@
     def begin(self, status, headers):
         """Store the status and headers."""
         self.begun = True
+        self.heads += 1
         self.status = status
         self.headers = {name.lower(): value for name, value in headers}
 
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -150,7 +150,7 @@
     def __init__(self, buffer):
         self._buffer = buffer
 
-    def is_own_answer(self, status, headers):
+    def is_own_answer(self, status, headers, *, is_first):
         return True
 
     async def headers_received(self, status, headers):
@@ -175,7 +175,7 @@
 
     def start(self, status, headers):
         self._head = (status, HTTPHeaders(headers))
-        self._receiver.is_own_answer(*self._head)
+        self._receiver.is_own_answer(*self._head, is_first=True)
 
     async def data(self, chunk):
         await self.wait_while_cut()
