Take a stream without a length or an event for broken off

Whole streams have an event at least, so one that has none and ends with its connection is lost, and is sent to another server or answered with 502. The scenario's row failed before (Delivered instead of Lost).

--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -36,6 +36,7 @@
       | a chunk                                |
       | the line before the last chunk         |
       | an event of a stream without a length  |
+      | a stream without a length or any event |
 
   Scenario: A stream without a length is passed on as it arrives, and its connection is not used again
     Given a server that sends a stream of 3 events without a length, one each 0.3 seconds
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -107,6 +107,8 @@
         if self._is_valid_success() and self._event_filter is not None:
             if self._event_filter.has_partial_event:
                 return Lost("the stream ends within an event")
+            if self.first_event_at is None and self._ends_with_connection():
+                return Lost("the connection ended before the stream's first event")
             if not self._is_passing_through and not self._request.response.begun:
                 self._begin_stream()
             self._request.response.finish()
@@ -115,6 +117,11 @@
             return self._deliver_buffered()
         return self._failure_outcome()
 
+    def _ends_with_connection(self):
+        """Tell whether nothing but the end of the connection marks the answer's end."""
+        headers = self._headers
+        return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
     def _is_valid_success(self):
         answer = self.answer
         return 200 <= answer.status < 300 and answer.sealed and bool(answer.attempt_id)
