Never continue a plain answer that broke off with another server's

Callers of an idempotent route whose answer is over 1 MB, and which the server breaks off after that, got a second status line and another server's body within the first answer's length: the attempt counted as repeatable although the answer had begun. Only streams can go on elsewhere, from their last event; a plain answer that has begun ends with its connection. The scenario failed before (two heads) and passes.

--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -59,3 +59,9 @@
       | a refusal                         |
       | a plain success without events    |
       | an error with a body without end  |
+
+  # Guards against: parts of two answers are joined in one.
+  Scenario: A long plain answer that broke off is not continued by another server's
+    Given an answer of 2 MB that breaks off halfway, and a next server that is sound
+    When the look-up is requested through a daemon
+    Then the caller got one head, less than 2 MB and then the end of the connection
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -240,12 +240,18 @@
                 )
             case Failure(status):
                 is_retryable = status >= 500 and not request.response.begun
-                return is_retryable and self._can_run_again(route, attempts)
+                return is_retryable and self._can_run_again(request, route, attempts)
             case Lost() | Stalled():
-                return self._can_run_again(route, attempts)
-
-    def _can_run_again(self, route, attempts):
-        return route.repeatable and attempts.possible_runs < route.max_attempts
+                return self._can_run_again(request, route, attempts)
+
+    def _can_run_again(self, request, route, attempts):
+        # Only a stream can go on where another server's answer broke off.
+        can_go_on = is_stream(route) or not request.response.begun
+        return (
+            route.repeatable
+            and can_go_on
+            and attempts.possible_runs < route.max_attempts
+        )
 
     async def _attempt(self, request, admitted, attempts, backend, deadline):
         load = self._placement.load(backend)
@@ -325,7 +331,7 @@
         while True:
             now = clock.time()
             wake_at = deadline
-            if self._can_run_again(route, attempts):
+            if self._can_run_again(request, route, attempts):
                 wake_at = min(deadline, stalled_at(route, receiver, load, latency, now))
             if attempts.is_trial:
                 self._report_survival(request, admitted, receiver, now)
