Decide on prompt parts without a leader too, from reports in the store

A daemon whose report the leader does not answer writes it to an object of its own; all daemons follow these and block what they find, for 10 s at most, until a new leader decides.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,5 +1,7 @@
 """Steps for prompt parts that crash replicas."""
 
+import asyncio
+
 from behave import given, then, when
 
 from features.steps.platform_steps import start_request
@@ -41,7 +43,7 @@
 def _send_streams(context, rate, seconds, *, part=None, every=0):
     """Send streams to all daemons; every ``every``-th has ``part`` after its first."""
     names = sorted(context.simulation.fleet.kernels_by_name)
-    for index in range(rate * seconds):
+    for index in range(round(rate * seconds)):
         is_tainted = every > 0 and index % every == every - 1
         first = context.first_parts[0 if is_tainted else index % 12]
         stream = start_request(
@@ -115,3 +117,176 @@
             if record.msg == event and record.kwargs.get("id") == id_
         ]
         assert lines and part in lines[0]["parts"], (event, lines)
+
+
+@when("every daemon has loaded the list of quarantined parts")
+def when_loaded(context):
+    for _ in range(40):
+        context.simulation.wait(0.1)
+        if all(service.loaded for service in quarantines(context)):
+            return
+    raise AssertionError("the list was not loaded within 4 s")
+
+
+@then('every daemon refuses a request with the part "{part}" as not run, at once')
+def then_refused(context, part):
+    names = sorted(context.simulation.fleet.kernels_by_name)
+    requests = [
+        start_request(context, "POST", "/draft/x", daemon=name, parts=("x", part))
+        for name in names
+    ]
+    context.simulation.wait(0.05)
+    statuses = [request.response.status for request in requests]
+    assert statuses == [503] * len(names), statuses
+    assert all(float(r.response.headers["retry-after"]) > 0 for r in requests)
+
+
+@when('{event} while streams with the part "{part}" arrive for {seconds:d} seconds')
+def when_event_amid(context, event, part, seconds):
+    what, _, crashes = event.partition(" after ")
+    threshold = int(crashes.split()[0])
+    context.streams = []
+    fleet = context.simulation.fleet
+    has_happened = False
+    for _ in range(seconds * 2):
+        _send_streams(context, STREAMS_PER_S, 0.5, part=part, every=15)
+        if not has_happened and len(fleet.records.crashes) >= threshold:
+            has_happened = True
+            EVENTS_BY_NAME[what](context)
+    assert has_happened
+
+
+def kill_leader(context):
+    fleet = context.simulation.fleet
+    for name in context.simulation.call_in_loop(fleet.leader_names):
+        context.simulation.run(fleet.kill_daemon(name))
+
+
+def cut_off_relay(context):
+    """Cut the first daemon that does not lead off from the store and the others."""
+    fleet = context.simulation.fleet
+    leaders = context.simulation.call_in_loop(fleet.leader_names)
+    relay = sorted(set(fleet.kernels_by_name) - set(leaders))[0]
+    fleet.store.faults.silent_sources.add(relay)
+    for name in fleet.kernels_by_name:
+        fleet.cut_calls.add((f"{name}:27002", f"{relay}:27002"))
+
+
+def drop_history(context):
+    context.simulation.fleet.store.drop_history()
+
+
+def fail_calls(context):
+    """Let each call to the leader fail for 1 s."""
+    fleet = context.simulation.fleet
+    leaders = context.simulation.call_in_loop(fleet.leader_names)
+    pairs = {
+        (f"{name}:27002", f"{leader}:27002")
+        for name in fleet.kernels_by_name
+        for leader in leaders
+    }
+    fleet.cut_calls.update(pairs)
+    _send_streams(context, STREAMS_PER_S, 1, part="deadly", every=15)
+    fleet.cut_calls.difference_update(pairs)
+
+
+EVENTS_BY_NAME = {
+    "the leader is killed": kill_leader,
+    "a relay is cut off": cut_off_relay,
+    "the store forgets its history": drop_history,
+    "calls to the leader fail for 1 s": fail_calls,
+}
+
+
+@when('the part "{key}" is quarantined')
+def when_quarantined(context, key):
+    document = {"term": 99, "serial": 1, "parts": {key: [3, 60.0, False]}}
+    context.simulation.call_in_loop(
+        lambda: context.simulation.fleet.store.put("quarantine", "parts", document)
+    )
+
+
+@then("the first stream got {status:d} and has an attempt that was withdrawn")
+def then_withdrawn(context, status):
+    stream = context.streams[0]
+    assert stream.response.status == status, stream.response.status
+    assert len(context.simulation.fleet.records.runs_of(stream.id)) == 0
+
+
+@when('heads crash under 2 new requests with the part "{part}", {count:d} in all')
+def when_heads_crash(context, count, part):
+    """Crash heads at which one of two requests waits, until ``count`` have crashed."""
+    fleet = context.simulation.fleet
+    for replica in fleet.replicas_by_id.values():
+        replica.slow_factor = 30
+    names = sorted(fleet.kernels_by_name)
+    crashed = set()
+    for index in range(2):
+        start_request(context, "POST", "/draft/x", daemon=names[index], parts=(part,))
+        context.simulation.wait(0.05)
+        crash_heads_with(context, part, crashed, most=count - 1 + index)
+        context.simulation.wait(0.05)
+    crash_heads_with(context, part, crashed, most=count)
+    assert len(crashed) == count, crashed
+    for replica in fleet.replicas_by_id.values():
+        replica.slow_factor = 1.0
+    context.crashed_at = context.simulation.call_in_loop(_now)
+    context.simulation.wait(0.2)
+
+
+def crash_heads_with(context, part, crashed, *, most):
+    """Crash the heads that a request with the part has reached."""
+    fleet = context.simulation.fleet
+
+    def crash():
+        for arrival in fleet.records.arrivals:
+            if arrival.parts != (part,) or arrival.arrived_at < _now() - 0.3:
+                continue
+            if arrival.replica not in crashed and len(crashed) < most:
+                crashed.add(arrival.replica)
+                fleet.replicas_by_id[arrival.replica].crash()
+
+    context.simulation.call_in_loop(crash)
+
+
+@then('the part "{part}" is quarantined')
+def then_part_quarantined(context, part):
+    assert any(is_quarantined(service, part) for service in quarantines(context))
+
+
+@then('the part "{part}" is not quarantined')
+def then_part_not_quarantined(context, part):
+    assert not any(is_quarantined(service, part) for service in quarantines(context))
+
+
+@then('requests with the part "{part}" are served again within {seconds:g} seconds')
+def then_served_again(context, part, seconds):
+    limit = context.crashed_at + seconds
+    names = sorted(context.simulation.fleet.kernels_by_name)
+    for index in range(1000):
+        request = start_request(
+            context,
+            "POST",
+            "/draft/x",
+            daemon=names[index % len(names)],
+            parts=(part,),
+        )
+        context.simulation.wait(0.1)
+        is_blocked = request.response.body == b"part_quarantined\n"
+        if context.simulation.call_in_loop(_now) > limit:
+            assert not is_blocked, request.response.body
+            if index % len(names) == len(names) - 1:
+                return
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+def quarantines(context):
+    kernels = context.simulation.fleet.kernels_by_name.values()
+    return [kernel.get("quarantine") for kernel in kernels]
+
+
+def is_quarantined(service, part):
+    return part in {key.partition("/")[2] for key in service.blocked_keys()}
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -126,7 +126,7 @@
         RelayService(first_start=settings.first_start),
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PlacementService(),
-        QuarantineService(settings.react_s),
+        QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
         DepartureService(settings.id),
--- a/pimentogap/quarantine/__init__.py
+++ b/pimentogap/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Keeps requests with prompt parts that crash backend servers away from them."""
 
+from pimentogap.quarantine._documents import decode_list, decode_reports
 from pimentogap.quarantine._evidence import EvidenceTable
 from pimentogap.quarantine._memory import PartMemory
 from pimentogap.quarantine._service import QuarantineService
@@ -23,5 +24,7 @@
     "QuarantinedPart",
     "Strike",
     "Trial",
+    "decode_list",
+    "decode_reports",
     "part_key",
 ]
--- a/pimentogap/quarantine/_evidence.py
+++ b/pimentogap/quarantine/_evidence.py
@@ -92,6 +92,9 @@
             suspect.is_quarantined = True
             self._suspects_by_key[key] = suspect
 
+    def __len__(self):
+        return len(self._suspects_by_key)
+
     def record_strikes(self, strikes, now):
         """Record `Strike` evidence; return the keys that it quarantines."""
         struck_by_key = {}
--- a/pimentogap/quarantine/_memory.py
+++ b/pimentogap/quarantine/_memory.py
@@ -26,6 +26,9 @@
     def __init__(self):
         self._answered_by_key = OrderedDict()
 
+    def __len__(self):
+        return len(self._answered_by_key)
+
     def record_answer(self, key, now):
         """Record that a request with the part ``key`` was answered."""
         self._answered_by_key[key] = _Answered(now)
--- a/pimentogap/quarantine/_service.py
+++ b/pimentogap/quarantine/_service.py
@@ -24,12 +24,14 @@
     Trial,
     part_key,
 )
-from pimentogap.store import Conflict, Put, Written
+from pimentogap.store import Conflict, Delete, Put, Written
 
 log = Logger("quarantine")
 
 COLLECTION = "quarantine"
 OBJECT = "parts"
+# What daemons report that cannot reach the leader stands in objects of their own.
+REPORT_PREFIX = "reports."
 REPORT_CALL = "prompt_parts"
 TRIAL_CALL = "prompt_part_trial"
 CALL_TIMEOUT_S = 0.4
@@ -44,6 +46,8 @@
 MAX_PARTS_PER_REQUEST = 32
 # A daemon asks for a trial of one part at most once in this time.
 TRIAL_ASK_INTERVAL_S = 0.5
+# What daemons decide without a leader holds this long; a new leader acts before.
+PROVISIONAL_S = 10.0
 ALLOWED = Allowed()
 
 
@@ -66,6 +70,8 @@
     compares the reports and writes the list of quarantined parts to the store, which
     every daemon follows. A daemon that has seen a quarantined part answered tells the
     leader, which releases it. Other parts are released by the trial of one request.
+    While no leader answers, reports go to the store, and each daemon blocks for a while
+    what it finds in them.
     ``changed`` is a future that the next change of the list ends.
     """
 
@@ -74,6 +80,7 @@
     __slots__ = (
         "changed",
         "loaded",
+        "_id",
         "_react_s",
         "_kernel",
         "_store",
@@ -92,13 +99,19 @@
         "_reported_to",
         "_reported_keys",
         "_unwritten",
+        "_provisional_table",
+        "_provisional_until_by_key",
+        "_own_version",
+        "_own_reports",
     )
 
-    def __init__(self, react_s):
+    def __init__(self, daemon_id, react_s):
         """Set the time in which daemons must react to a part that crashes servers.
 
+        :param daemon_id: names the object of this daemon's reports.
         :param react_s: in seconds; the platform states it.
         """
+        self._id = daemon_id
         self.changed = None
         self.loaded = False
         self._react_s = react_s
@@ -119,6 +132,10 @@
         self._reported_to = ""
         self._reported_keys = OrderedDict()
         self._unwritten = asyncio.Event()
+        self._provisional_table = None
+        self._provisional_until_by_key = {}
+        self._own_version = 0
+        self._own_reports = None
 
     async def start(self, kernel):
         """Follow the list, and start the tasks that report and write."""
@@ -136,14 +153,21 @@
     async def stop(self):
         """Do nothing; the kernel ends the tasks."""
 
+    def blocked_keys(self):
+        """Return the keys of the quarantined parts that this daemon knows."""
+        return frozenset(self._known_by_key)
+
     def find_blocked(self, service, parts):
         """Return `Allowed` or `Blocked` for a request with these prompt parts."""
-        if not self._known_by_key:
+        if not self._known_by_key and not self._provisional_until_by_key:
             return ALLOWED
         now = self._kernel.clock.time()
         blocked = []
         for part in parts:
             key = part_key(service, part)
+            until = self._provisional_until_by_key.get(key, 0.0)
+            if now < until and self._memory.answered_at(key) is None:
+                blocked.append(Blocked(key, until - now))
             known = self._known_by_key.get(key)
             if known is not None and not self._is_refuted(key, known):
                 trial_at = known.known_at + known.part.trial_after_s
@@ -212,6 +236,37 @@
             if item.name == OBJECT:
                 self._version = max(self._version, item.version)
                 self._apply_data(item.value)
+            elif item.name.startswith(REPORT_PREFIX):
+                self._judge_provisionally(item)
+
+    def _judge_provisionally(self, stored):
+        """Block what the reports that daemons wrote without a leader amount to."""
+        try:
+            strikes, _ = decode_reports(stored.value)
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning(
+                "report on prompt parts not readable",
+                name=stored.name,
+                error=repr(error),
+            )
+            return
+        if self._lease.is_held():
+            self._judge(strikes, ())
+            return
+        now = self._kernel.clock.time()
+        if self._provisional_table is None:
+            nothing = QuarantineList()
+            self._provisional_table = EvidenceTable(0, self._react_s, nothing, now)
+        convicted = self._provisional_table.record_strikes(strikes, now)
+        for key in convicted:
+            self._provisional_until_by_key[key] = now + PROVISIONAL_S
+            log.warning("prompt part blocked without a leader", part=key)
+        if convicted:
+            self._notify()
+
+    def _notify(self):
+        changed, self.changed = self.changed, self.changed.get_loop().create_future()
+        changed.set_result(None)
 
     def _apply_data(self, data):
         try:
@@ -236,8 +291,9 @@
         self._log_changes(known_by_key, newer)
         self._list = newer
         self._known_by_key = known_by_key
-        changed, self.changed = self.changed, self.changed.get_loop().create_future()
-        changed.set_result(None)
+        self._provisional_table = None
+        self._provisional_until_by_key.clear()
+        self._notify()
 
     def _report_if_refuted(self, key, known):
         if self._is_refuted(key, known):
@@ -271,11 +327,38 @@
             if await self._deliver(reports):
                 if not self._reports:
                     self._reports_sent.set()
+                await self._withdraw_own_reports()
                 continue
             self._reports.extendleft(reversed(reports))
+            await self._store_own_reports()
             await self._kernel.clock.sleep(RETRY_DELAY_S)
             self._reports_added.set()
 
+    async def _store_own_reports(self):
+        """Let the other daemons read the recent strikes, as long as no leader does."""
+        strikes = [strike for _, strike in self._recent_strikes]
+        if not strikes:
+            return
+        value = encode_reports(strikes)
+        if value == self._own_reports and self._own_version:
+            return
+        name = REPORT_PREFIX + self._id
+        call = Put(COLLECTION, name, value, self._own_version)
+        match await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S):
+            case Written(version):
+                self._own_version = version
+                self._own_reports = value
+            case Conflict(current):
+                # Left by an earlier life of this daemon; overwritten at the next try.
+                self._own_version = current.version if current is not None else 0
+
+    async def _withdraw_own_reports(self):
+        if self._own_version:
+            name = REPORT_PREFIX + self._id
+            call = Delete(COLLECTION, name, self._own_version)
+            self._own_version = 0
+            await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S)
+
     async def _deliver(self, reports):
         """Tell the leader; return whether it knows the reports."""
         body = encode_reports(reports)
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -74,6 +74,7 @@
         "_highest_epoch",
         "_fence",
         "_last_model",
+        "_crashed",
         "_tasks",
         "_random",
     )
@@ -117,6 +118,7 @@
         self._engine = engine
         self._records = records
         self._peers_by_id = peers
+        self._crashed = asyncio.Event()
         self._tasks = set()
         self._random = random.Random(f"{id_}-{seed}")
         peers[id_] = self
@@ -143,9 +145,10 @@
     def crash(self, *, down_s=CRASHED_FOR_S):
         """End every request and order at once, and restart ``down_s`` seconds later."""
         self.stop_tasks()
+        self._crashed.set()
+        self._crashed = asyncio.Event()
         self.is_down = True
         self.place = None
-        self.born += 1
         self._start_task(self._restart_after(down_s))
 
     async def _restart_after(self, down_s):
@@ -446,7 +449,6 @@
 
         :raises AbandonConnection: if a member is lost, or the replica has crashed.
         """
-        born = self.born
         members = [self._peers_by_id.get(id_) for id_ in place.members]
         if any(not self._is_in_group(member, place) for member in members):
             await asyncio.sleep(self._engine.get("stallMs", 4000) / 1000)
@@ -455,9 +457,14 @@
                 self.publish()
             raise AbandonConnection
         pace = max(member.slow_factor for member in members)
-        await asyncio.sleep(seconds * pace * (1 + self.running / self.slots))
-        if self.born != born:
+        try:
+            async with asyncio.timeout(
+                seconds * pace * (1 + self.running / self.slots)
+            ):
+                await self._crashed.wait()
             raise AbandonConnection
+        except TimeoutError:
+            pass
         if self.is_silent:
             await asyncio.sleep(SILENCE_S)
 
