Try a quarantined part by a request that has no other one

A part that daemons know from deadly requests alone, such as a caller's first part after a restart of the fleet, is quarantined together with the deadly part. Its trial could go to a request with both, whose crash says nothing, and each one doubled the wait of the sound part: up to 60 s. Parts struck by the same servers are now tried after a third of the reaction time, by a request that has only one of them; one with several waits four times as long as the strikes alone say.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -68,3 +68,13 @@
     And 1 seconds pass
     Then the part "first-0" is not quarantined
     And requests with the part "first-0" are served again within 1 seconds
+
+  # Guards against: sound requests are refused for a part that daemons know from deadly
+  # requests alone.
+  Scenario: A sound part that only deadly requests had is released by the first sound request
+    Given the part "deadly" crashes each replica that begins to write on it
+    When requests with the parts "rare" and "deadly" arrive until both are quarantined
+    Then requests with the part "rare" are served again within 3 seconds
+    And the part "rare" is not quarantined
+    And the part "deadly" is quarantined
+    And at most 5 replicas crashed
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -198,6 +198,26 @@
 }
 
 
+@when(
+    'requests with the parts "{first}" and "{second}" arrive until both are quarantined'
+)
+def when_both_quarantined(context, first, second):
+    names = sorted(context.simulation.fleet.kernels_by_name)
+    for index in range(20):
+        start_request(
+            context,
+            "POST",
+            "/draft/x",
+            daemon=names[index % len(names)],
+            parts=(first, second),
+        )
+        context.simulation.wait(0.2)
+        if all(is_quarantined(quarantines(context)[0], p) for p in (first, second)):
+            context.crashed_at = context.simulation.call_in_loop(_now)
+            return
+    raise AssertionError("the parts were not quarantined")
+
+
 @when('the part "{key}" is quarantined')
 def when_quarantined(context, key):
     document = {"term": 99, "serial": 1, "parts": {key: [3, 60.0, False]}}
--- a/fuzz/_front.py
+++ b/fuzz/_front.py
@@ -17,6 +17,10 @@
 SETTLE_S = 45.0
 ENTRY_EXPIRY_S = 3.6
 EVENTS_PER_STREAM = 27
+SOUND_PART = "sound"
+DEADLY_PART = "deadly"
+# Longer than the longest time to the trial of a quarantined part.
+RELEASE_LIMIT_S = 65.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +31,14 @@
     model: str
 
 
+@dataclass(frozen=True, slots=True)
+class DeadlyStream:
+    """A caller requests a stream with a prompt part that crashes replicas."""
+
+    daemon: int
+    model: str
+
+
 @dataclass(frozen=True, slots=True)
 class Book:
     """A caller sends one daemon an action that may run at most once."""
@@ -117,6 +129,7 @@
     __slots__ = (
         "fleet",
         "streams",
+        "deadly_streams",
         "bookings",
         "version",
         "seen_versions",
@@ -126,6 +139,7 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.streams = []
+        self.deadly_streams = []
         self.bookings = []
         self.version = 1
         self.seen_versions = {}
@@ -136,10 +150,10 @@
         fleet = self.fleet
         match step:
             case Stream(daemon, model):
-                request = fleet.send_request(
-                    "POST", "/draft/x", daemon=daemon_name(daemon), model=model
-                )
-                self.streams.append(request)
+                self.streams.append(self._request(daemon, model, SOUND_PART))
+            case DeadlyStream(daemon, model):
+                request = self._request(daemon, model, SOUND_PART, DEADLY_PART)
+                self.deadly_streams.append(request)
             case Book(daemon):
                 self.bookings.append(
                     fleet.send_request("POST", "/book/x", daemon=daemon_name(daemon))
@@ -177,6 +191,26 @@
                 await asyncio.sleep(seconds)
         self._check_versions()
 
+    def _request(self, daemon, model, *parts):
+        return self.fleet.send_request(
+            "POST", "/draft/x", daemon=daemon_name(daemon), model=model, parts=parts
+        )
+
+    async def check_sound_part_served(self):
+        """Check that each daemon serves the sound part, once it may be tried again."""
+        limit = asyncio.get_running_loop().time() + RELEASE_LIMIT_S
+        unserved = set(range(DAEMONS))
+        while unserved and asyncio.get_running_loop().time() < limit:
+            requests_by_daemon = {
+                daemon: self._request(daemon, "large", SOUND_PART)
+                for daemon in unserved
+            }
+            await asyncio.sleep(2.0)
+            for daemon, request in requests_by_daemon.items():
+                if request.response.status == 200:
+                    unserved.discard(daemon)
+        assert not unserved, f"daemons {unserved} do not serve a sound part"
+
     async def end_faults(self):
         """End every fault, then wait `SETTLE_S` for the fleet to recover."""
         await self.apply(Store("up"))
@@ -232,6 +266,8 @@
     fleet = EmulatedFleet()
     await fleet.start(daemons=DAEMONS, domains=DOMAINS, domain_size=DOMAIN_SIZE)
     await asyncio.sleep(STARTUP_S)
+    for replica in fleet.replicas_by_id.values():
+        replica.deadly_parts = (DEADLY_PART,)
     history = History(fleet)
     try:
         for step in steps:
@@ -239,6 +275,7 @@
         await history.end_faults()
         check_guarantees(history)
         check_recovered(history)
+        await history.check_sound_part_served()
     finally:
         await fleet.close()
 
@@ -261,6 +298,11 @@
         assert events == list(range(1, len(events) + 1)), (stream.id, events)
         if stream.response.is_finished and stream.response.status == 200:
             assert len(events) == EVENTS_PER_STREAM, (stream.id, len(events))
+    for stream in history.deadly_streams:
+        assert stream.response.status != 200, f"{stream.id} was answered"
+        if stream.response.status == 503:
+            arrived = [a for a in records.arrivals if a.attempt_id == stream.id]
+            assert not arrived, f"{stream.id} was refused as not run but was sent"
     for booking in history.bookings:
         runs = records.runs_of(booking.id)
         assert len(runs) <= 1, f"{booking.id} ran {len(runs)} times"
@@ -284,6 +326,7 @@
 STEPS = weighted_histories(
     [
         (st.builds(Stream, DAEMON, st.sampled_from(["large", "small"])), 8),
+        (st.builds(DeadlyStream, DAEMON, st.sampled_from(["large", "small"])), 4),
         (st.builds(Book, DAEMON), 5),
         (st.builds(Lose, REPLICA), 3),
         (st.builds(CutOff, REPLICA), 2),
--- a/pimentogap/quarantine/_evidence.py
+++ b/pimentogap/quarantine/_evidence.py
@@ -19,10 +19,25 @@
 # the platform gives daemons to react: by the number of strikes, and from there on.
 TRIAL_FACTOR_BY_STRIKES = {3: 1 / 3, 4: 4.0}
 LAST_TRIAL_FACTOR = 20.0
+# Beside other quarantined parts a part is tried ever later, since the outcome would not
+# tell which of them is deadly.
+SEVERAL_PARTS_FACTOR = 4.0
 # A trial without an outcome is over after this; no stream lasts longer.
 TRIAL_TIMEOUT_S = 10.0
 
 
+def time_to_trial_s(strikes, react_s, *, several=False):
+    """Return the time without a strike until a request may be tried, in seconds.
+
+    :param react_s: the time that the platform gives daemons to react.
+    :param several: whether the request has more than one quarantined part.
+    """
+    factor = TRIAL_FACTOR_BY_STRIKES.get(strikes, LAST_TRIAL_FACTOR)
+    if several:
+        factor *= SEVERAL_PARTS_FACTOR
+    return factor * react_s
+
+
 class Suspect:
     """The evidence against one part. Times are in seconds of the runtime's clock.
 
@@ -201,8 +216,21 @@
                     del self._suspects_by_key[key]
 
     def _trial_after_s(self, suspect):
-        factor = TRIAL_FACTOR_BY_STRIKES.get(suspect.strikes, LAST_TRIAL_FACTOR)
-        return factor * self._react_s
+        """Return the time to the trial of a request without other quarantined parts.
+
+        Of parts that were struck by the same crashes, one is deadly; the others should
+        not wait.
+        """
+        strikes = MIN_LIVES if self._is_tied(suspect) else suspect.strikes
+        return time_to_trial_s(strikes, self._react_s)
+
+    def _is_tied(self, suspect):
+        return any(
+            other is not suspect
+            and other.is_quarantined
+            and other.lives == suspect.lives
+            for other in self._suspects_by_key.values()
+        )
 
     def _forget_old(self, now):
         """Keep the tables bounded, whatever callers send."""
--- a/pimentogap/quarantine/_service.py
+++ b/pimentogap/quarantine/_service.py
@@ -9,7 +9,7 @@
 from pimentogap.kernel import RestartOnError
 from pimentogap.metrics import Series
 from pimentogap.quarantine._documents import decode_list, decode_reports
-from pimentogap.quarantine._evidence import EvidenceTable
+from pimentogap.quarantine._evidence import EvidenceTable, time_to_trial_s
 from pimentogap.quarantine._judge import COLLECTION, LIST_NAME, Judge
 from pimentogap.quarantine._memory import PartMemory
 from pimentogap.quarantine._reports import REPORT_CALL, REPORT_PREFIX, ReportSender
@@ -130,18 +130,36 @@
         """Return `Allowed` or `Blocked` for a request with these prompt parts."""
         if not self._known_by_key and not self._provisional_until_by_key:
             return ALLOWED
+        keys = [part_key(service, part) for part in parts]
+        blocked = self._provisionally_blocked(keys) + self._quarantined(keys)
+        return max(blocked, key=lambda item: item.trial_in_s, default=ALLOWED)
+
+    def _provisionally_blocked(self, keys):
+        now = self._kernel.clock.time()
+        return [
+            Blocked(key, self._provisional_until_by_key[key] - now)
+            for key in keys
+            if now < self._provisional_until_by_key.get(key, 0.0)
+            and self._memory.answered_at(key) is None
+        ]
+
+    def _quarantined(self, keys):
         now = self._kernel.clock.time()
+        known_by_key = {
+            key: self._known_by_key[key]
+            for key in keys
+            if key in self._known_by_key and not self._is_refuted(key)
+        }
         blocked = []
-        for part in parts:
-            key = part_key(service, part)
-            until = self._provisional_until_by_key.get(key, 0.0)
-            if now < until and self._memory.answered_at(key) is None:
-                blocked.append(Blocked(key, until - now))
-            known = self._known_by_key.get(key)
-            if known is not None and not self._is_refuted(key, known):
-                trial_at = known.known_at + known.part.trial_after_s
-                blocked.append(Blocked(key, max(0.0, trial_at - now)))
-        return max(blocked, key=lambda item: item.trial_in_s, default=ALLOWED)
+        for key, known in known_by_key.items():
+            trial_after_s = known.part.trial_after_s
+            if len(known_by_key) > 1:
+                trial_after_s = time_to_trial_s(
+                    known.part.strikes, self._react_s, several=True
+                )
+            trial_in_s = max(0.0, known.known_at + trial_after_s - now)
+            blocked.append(Blocked(key, trial_in_s))
+        return blocked
 
     async def screen(self, service, parts):
         """Return `Allowed`, `Blocked` or `Trial` for a request with these parts."""
@@ -156,7 +174,7 @@
     def record_answer(self, service, parts):
         """Record that a backend server wrote an answer to a request with ``parts``."""
         now = self._kernel.clock.time()
-        for part in parts:
+        for part in parts[:MAX_PARTS_PER_REQUEST]:
             key = part_key(service, part)
             self._memory.record_answer(key, now)
             if key in self._known_by_key or self._reported_keys.pop(key, False):
@@ -219,15 +237,16 @@
         self._kernel.get("metrics").set_gauge(gauge, len(self._known_by_key))
         self._notify()
 
-    def _is_refuted(self, key, known):
-        """Return whether this daemon has seen the part answered."""
+    def _is_refuted(self, key):
+        """Return whether this daemon has seen a quarantined part answered."""
+        known = self._known_by_key[key]
         answered_at = self._memory.answered_at(key)
         if answered_at is None:
             return False
         return not known.part.convicted_again or answered_at > known.known_at
 
     def _report_if_refuted(self, key):
-        if self._is_refuted(key, self._known_by_key[key]):
+        if self._is_refuted(key):
             ago_s = self._kernel.clock.time() - self._memory.answered_at(key)
             self._reports.add(Served(key, ago_s))
 
