Split the emulator's model replica into orders and serving

Running requests is a class of its own now; no change of behaviour, all scenarios of features/platform pass.

--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -4,16 +4,14 @@
 import json
 import random
 
-from standins._network import AbandonConnection, split_path
-from standins.emulator._records import Arrival, Crash, Run
+from standins._network import split_path
+from standins.emulator._serving import ModelServer, answer
 
 REJOIN_SAME_MODEL_S = 0.2
 # Multiplies the load time until the first request runs.
 INITIAL_LOAD_FACTOR = 0.1
-EVENT_TOKENS = 5
 PUBLISH_LAG_S = 0.05
 # Longer than any client waits for an answer.
-TRICKLE_INTERVAL_S = 0.1
 SILENCE_S = 3600.0
 CRASHED_FOR_S = 3.0
 
@@ -41,7 +39,7 @@
     ``order_delays_s`` maps an operation to the seconds by which its orders are
     delayed. ``slow_factor`` multiplies the time that any work of the replica's group
     takes. After ``trickles_after`` events, if that is set, a stream goes on with a
-    part of an event each `TRICKLE_INTERVAL_S` and never completes it. A request with
+    part of an event each 0.1 s and never completes it. A request with
     one of the ``deadly_parts`` in its prompt crashes the replica when it begins to run;
     while ``is_down``, until the replica is back, nothing listens on its address.
     """
@@ -68,15 +66,16 @@
         "running",
         "slots",
         "_store",
-        "_engine",
-        "_records",
-        "_peers_by_id",
+        "engine",
+        "records",
+        "peers_by_id",
         "_highest_epoch",
         "_fence",
         "_last_model",
-        "_crashed",
+        "crashed",
         "_tasks",
         "_random",
+        "_server",
     )
 
     def __init__(
@@ -115,12 +114,13 @@
         self.slots = engine["slots"]
         self.staged = []
         self._store = store
-        self._engine = engine
-        self._records = records
-        self._peers_by_id = peers
-        self._crashed = asyncio.Event()
+        self.engine = engine
+        self.records = records
+        self.peers_by_id = peers
+        self.crashed = asyncio.Event()
         self._tasks = set()
         self._random = random.Random(f"{id_}-{seed}")
+        self._server = ModelServer(self)
         peers[id_] = self
         self.born = 0
         self.restart()
@@ -145,8 +145,8 @@
     def crash(self, *, down_s=CRASHED_FOR_S):
         """End every request and order at once, and restart ``down_s`` seconds later."""
         self.stop_tasks()
-        self._crashed.set()
-        self._crashed = asyncio.Event()
+        self.crashed.set()
+        self.crashed = asyncio.Event()
         self.is_down = True
         self.place = None
         self._start_task(self._restart_after(down_s))
@@ -201,15 +201,15 @@
         headers = {name.lower(): value for name, value in request.headers.items()}
         expected = headers.get("x-pimentogap-expect-replica", self.id)
         if expected != self.id:
-            await self._answer(reply, 421, {}, {"X-Pimentogap-Replica-Id": self.id})
+            await answer(reply, 421, {}, {"X-Pimentogap-Replica-Id": self.id})
         elif path == "/api/report":
-            await self._answer(reply, 200, self._report())
+            await answer(reply, 200, self._report())
         elif path == "/health":
-            await self._answer(reply, 200 if self.state == "ready" else 503, {})
+            await answer(reply, 200 if self.state == "ready" else 503, {})
         elif path == "/api/order":
             await self._handle_order(json.loads(request.body), reply)
         else:
-            await self._serve(headers, reply)
+            await self._server.serve(headers, reply)
 
     def _report(self):
         report = self.entry()
@@ -223,7 +223,7 @@
             await asyncio.sleep(SILENCE_S)
         # Orders on other connections can overtake a delayed one.
         await asyncio.sleep(self.order_delays_s.get(order["operation"], 0.0))
-        await self._answer(reply, self._apply_order(order), {})
+        await answer(reply, self._apply_order(order), {})
 
     async def _apply_order_late(self, order):
         await asyncio.sleep(self._random.uniform(2.0, 12.0))
@@ -232,7 +232,7 @@
     def _apply_order(self, order):
         fence = order.get("fenceToken", 0)
         if fence < self._fence:
-            self._records.stale_fences += 1
+            self.records.stale_fences += 1
             return 412
         self._fence = fence
         if order.get("expectedRev", self.seq) != self.seq:
@@ -271,7 +271,7 @@
         place = self.place
         if place is None:
             return
-        head = self._peers_by_id.get(place.members[0])
+        head = self.peers_by_id.get(place.members[0])
         if head is None or head.is_silent or head.place is None:
             return
         is_same_group = (head.place.group, head.place.epoch) == (
@@ -279,12 +279,12 @@
             place.epoch,
         )
         if is_same_group and head.place.state in ("open", "closing"):
-            self._records.replicas_in_two_groups.append(
+            self.records.replicas_in_two_groups.append(
                 (self.id, place.group, order["group"])
             )
 
     async def _load_model(self, place):
-        model = self._model(place.model)
+        model = self.model(place.model)
         if self._last_model == place.model:
             await asyncio.sleep(REJOIN_SAME_MODEL_S)
         elif place.model in self.staged:
@@ -295,7 +295,7 @@
             place.state = "ready"
             self._last_model = place.model
             membership = (self.id, place.group, place.epoch, place.members)
-            self._records.ready_members.add(membership)
+            self.records.ready_members.add(membership)
             self.publish()
 
     def _open(self, order):
@@ -309,7 +309,7 @@
         return 202
 
     async def _form_group(self, place):
-        await asyncio.sleep(self._engine["formMs"] / 1000)
+        await asyncio.sleep(self.engine["formMs"] / 1000)
         if self.place is place and place.state == "ready":
             place.state = "open"
             self.publish()
@@ -339,7 +339,7 @@
         return 202
 
     async def _load_onto_host(self, model):
-        await self._load_weights(self._model(model))
+        await self._load_weights(self.model(model))
         self.publish()
 
     async def _load_weights(self, model):
@@ -348,14 +348,14 @@
         Until the first request runs, a load is not recorded and is much shorter, so
         that a fleet starts quickly.
         """
-        records = self._records
+        records = self.records
         if records.runs:
             records.loads.append(asyncio.get_running_loop().time())
             records.loads_in_progress += 1
             records.max_concurrent_loads = max(
                 records.max_concurrent_loads, records.loads_in_progress
             )
-            contention = records.loads_in_progress / self._engine["loads_at_once"]
+            contention = records.loads_in_progress / self.engine["loads_at_once"]
             try:
                 await asyncio.sleep(model["loadS"] * max(1.0, contention))
             finally:
@@ -377,129 +377,11 @@
         self.seq += 1
         self.publish()
 
-    def _model(self, name):
-        return next(m for m in self._engine["models"] if m["name"] == name)
-
-    async def _serve(self, headers, reply):
-        """Run a request if the replica is the head of an open group, else refuse it."""
-        place = self.place
-        if place is None or place.rank or place.state != "open":
-            await self._refuse(reply, 421)
-            return
-        if place.model != headers.get("x-pimentogap-model"):
-            await self._refuse(reply, 421)
-            return
-        if self.running >= self.slots * 3:
-            await self._refuse(reply, 503)
-            return
-        self.running += 1
-        try:
-            await self._run(headers, reply, place)
-        finally:
-            self.running -= 1
-
-    async def _run(self, headers, reply, place):
-        attempt_id = headers.get("x-pimentogap-attempt-id", "")
-        prompt, output = headers["x-pimentogap-token-count"].split(",")
-        first = int(headers.get("last-event-id", "0")) + 1
-        parts = _prompt_parts(headers)
-        arrived_at = asyncio.get_running_loop().time()
-        self._records.arrivals.append(Arrival(attempt_id, self.id, parts, arrived_at))
-        await self._simulate_work(place, int(prompt) / self._engine["read_per_s"])
-        self._crash_if_deadly(parts)
-        self._record_if_incomplete(place)
-        now = asyncio.get_running_loop().time()
-        workspace = headers.get("x-pimentogap-tenant")
-        self._records.runs.append(Run(attempt_id, self.id, workspace, now))
-        reply.start(
-            200,
-            {
-                "Content-Type": "text/event-stream",
-                "X-Pimentogap-Attempt-Id": attempt_id,
-                "X-Pimentogap-Replica-Seal": f"seal-{self.id}",
-                "X-Pimentogap-Replica-Load": f"{self.running},0,{self.slots}",
-            },
-        )
-        events = -(-int(output) // EVENT_TOKENS)
-        for number in range(first, events + 1):
-            if self.trickles_after is not None and number > self.trickles_after:
-                await self._trickle(reply)
-            step_s = self._engine["step_ms"] / 1000 * EVENT_TOKENS
-            await self._simulate_work(place, step_s)
-            await reply.data(f"id: {number}\ndata: {attempt_id}/{number}\n\n".encode())
-
-    def _crash_if_deadly(self, parts):
-        for part in parts:
-            if part in self.deadly_parts:
-                now = asyncio.get_running_loop().time()
-                self._records.crashes.append(Crash(self.id, part, now))
-                self.crash()
-                raise AbandonConnection
-
-    async def _trickle(self, reply):
-        """Send parts of an event that never ends, until the caller closes."""
-        while True:
-            await asyncio.sleep(TRICKLE_INTERVAL_S)
-            await reply.data(b":")
-
-    async def _simulate_work(self, place, seconds):
-        """Wait for ``seconds``, scaled by the group's slowness and the replica's load.
-
-        If a member is lost, the group stalls and breaks instead, as on the platform.
-
-        :raises AbandonConnection: if a member is lost, or the replica has crashed.
-        """
-        members = [self._peers_by_id.get(id_) for id_ in place.members]
-        if any(not self._is_in_group(member, place) for member in members):
-            await asyncio.sleep(self._engine.get("stallMs", 4000) / 1000)
-            if self.place is place and place.state == "open":
-                place.state = "broken"
-                self.publish()
-            raise AbandonConnection
-        pace = max(member.slow_factor for member in members)
-        try:
-            async with asyncio.timeout(
-                seconds * pace * (1 + self.running / self.slots)
-            ):
-                await self._crashed.wait()
-            raise AbandonConnection
-        except TimeoutError:
-            pass
-        if self.is_silent:
-            await asyncio.sleep(SILENCE_S)
-
-    def _is_in_group(self, member, place):
-        if member is None or member.is_silent or member.place is None:
-            return False
-        return (member.place.group, member.place.epoch) == (place.group, place.epoch)
-
-    def _record_if_incomplete(self, place):
-        """Record a run in a group of which a member never became ready."""
-        size = self._model(place.model)["size"]
-        ready = [
-            id_
-            for id_ in place.members
-            if (id_, place.group, place.epoch, place.members)
-            in self._records.ready_members
-        ]
-        if len(ready) != size:
-            self._records.runs_in_incomplete_groups.append((self.id, place.group))
-
-    async def _refuse(self, reply, status):
-        await self._answer(reply, status, {}, {"X-Pimentogap-Not-Executed": "1"})
-
-    async def _answer(self, reply, status, data, headers=None):
-        body = json.dumps(data).encode()
-        reply.start(status, {"Content-Length": str(len(body)), **(headers or {})})
-        await reply.data(body)
+    def model(self, name):
+        """Return the configured model called ``name``."""
+        return next(m for m in self.engine["models"] if m["name"] == name)
 
     def _start_task(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _prompt_parts(headers):
-    """Return the ids of the shared parts of a request's prompt."""
-    entries = headers.get("x-pimentogap-prompt-prefix", "").split(",")[:-1]
-    return tuple(entry.partition(":")[0] for entry in entries)
