Do not hurry the trials of parts that an earlier leader quarantined

Parts struck by the same backend servers are tried soon, since only one of them is deadly. A new leader does not know the servers of parts that it takes over, and took any two of them for such: each change of the leader let a request with a deadly part through after 1 s instead of 60 s. Unknown servers equal nothing now.

--- a/features/platform/evidence.feature
+++ b/features/platform/evidence.feature
@@ -35,6 +35,13 @@
     When another leader continues with the list
     Then its list has the part "deadly" with 3 strikes
 
+  # Guards against: each change of the leader lets requests with deadly parts through.
+  Scenario: A new leader does not hurry the trials of several parts that it knows from the list
+    Given the part "deadly" was quarantined after 5 crashes
+    And the part "fatal" was quarantined after 5 crashes too
+    When another leader continues with the list
+    Then the trial of each part is due 60 s after its last strike
+
   Scenario: The evidence stays bounded, whatever callers send
     When servers end under 200000 different parts, of 100 requests each
     Then the leader knows at most 1064 parts
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -128,6 +128,28 @@
     then_trial(context, seconds)
 
 
+@given('the part "{key}" was quarantined after {count:d} crashes too')
+def given_quarantined_too(context, key, count):
+    end_servers(context, count, key)
+    assert key in quarantined_keys(context)
+
+
+@then("the trial of each part is due {seconds:g} s after its last strike")
+def then_trials_due(context, seconds):
+    parts_by_key = table_of(context).quarantined().parts_by_key
+    due = {key: part.trial_after_s for key, part in parts_by_key.items()}
+    assert set(due.values()) == {seconds}, due
+
+
+@when('{count:d} servers end under "{key}", and "{other}" is reported first for each')
+def when_reported_first(context, count, key, other):
+    table = table_of(context)
+    for index in range(count):
+        life = f"life-{next(context.lives)}"
+        table.record_strikes([Strike(other, life, f"other-{index}")], context.now)
+        table.record_strikes([Strike(key, life, f"more-{index}")], context.now)
+
+
 @when("another leader continues with the list")
 def when_next_leader(context):
     known = table_of(context).quarantined()
--- a/pimentogap/quarantine/_evidence.py
+++ b/pimentogap/quarantine/_evidence.py
@@ -207,11 +207,11 @@
             if suspect.is_quarantined
         )
 
-    def _explain_lives(self, convicted):
+    def _explain_lives(self, quarantined):
         """Drop what counts against others only because they ran beside the part."""
         for key, suspect in list(self._suspects_by_key.items()):
             if not suspect.is_quarantined:
-                suspect.lives -= convicted.lives
+                suspect.lives -= quarantined.lives
                 if not suspect.lives:
                     del self._suspects_by_key[key]
 
@@ -228,7 +228,8 @@
         return any(
             other is not suspect
             and other.is_quarantined
-            and other.lives == suspect.lives
+            # Lives that an earlier leader knew of are not known, and equal nothing.
+            and other.lives == suspect.lives != set()
             for other in self._suspects_by_key.values()
         )
 
