Clear sound parts of crashes whose cause is reported after them

Daemons report the same crash at different moments. A sound part whose report came before that of a quarantined one kept the strike, and three such crashes quarantined it too, until a daemon that had seen it answered said so. Each strike of a quarantined part now explains its server for all others.

--- a/features/platform/evidence.feature
+++ b/features/platform/evidence.feature
@@ -42,6 +42,12 @@
     When another leader continues with the list
     Then the trial of each part is due 60 s after its last strike
 
+  # Guards against: sound parts are suspected for crashes whose cause is reported later.
+  Scenario: What ran beside a quarantined part is not suspected, in whatever order reports arrive
+    Given the part "deadly" was quarantined after 3 crashes
+    When 5 servers end under "deadly", and "beside" is reported first for each
+    Then only the parts "deadly" are on the list
+
   Scenario: The evidence stays bounded, whatever callers send
     When servers end under 200000 different parts, of 100 requests each
     Then the leader knows at most 1064 parts
--- a/pimentogap/quarantine/_evidence.py
+++ b/pimentogap/quarantine/_evidence.py
@@ -125,9 +125,10 @@
         ]
         for key in convicted:
             struck_by_key[key].is_quarantined = True
-        for key in convicted:
-            self._explain_lives(struck_by_key[key])
-        if any(suspect.is_quarantined for suspect in struck_by_key.values()):
+        quarantined = [item for item in struck_by_key.values() if item.is_quarantined]
+        for suspect in quarantined:
+            self._explain_lives(suspect)
+        if quarantined:
             self._serial += 1
         self._forget_old(now)
         return convicted
