Let the trial of a quarantined part run to its end

Found in review: a trial is looked at ten times a second, and each look ended it as stalled once it was slower than the stall timeout, also on routes whose requests cannot be sent again; the caller got 502 and the part stayed refused. The test for stalls is made only where another attempt is possible, as before trials existed, and a trial is reported once.

--- a/features/platform/quarantine.feature
+++ b/features/platform/quarantine.feature
@@ -78,3 +78,17 @@
     And the part "rare" is not quarantined
     And the part "deadly" is quarantined
     And at most 5 replicas crashed
+
+  # Guards against: a trial is ended because it is slow, although it cannot be sent again.
+  Scenario: A slow trial that cannot be repeated runs to its end
+    Given streams cannot be resumed
+    When the part "llm/late" is quarantined
+    And 1 seconds pass
+    And 1 streams with the parts "system" and "late" are requested
+    And 1.2 seconds pass
+    And every replica of the model service is 30 times slower
+    And 1 streams with the parts "system" and "late" are requested
+    And 0.7 seconds pass
+    And every replica of the model service is 1 times slower
+    And 5 seconds pass
+    Then the first stream is a trial that was answered
--- a/features/steps/platform_request_steps.py
+++ b/features/steps/platform_request_steps.py
@@ -140,6 +140,7 @@
 
 
 @given("every replica of the model service is {factor:g} times slower")
+@when("every replica of the model service is {factor:g} times slower")
 def given_slow(context, factor):
     for replica in context.simulation.fleet.replicas_by_id.values():
         replica.slow_factor = factor
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.steps.platform_steps import start_request
+from standins.emulator import configuration_document, default_routes
 
 FIFTH = 5
 STREAMS_PER_S = 30
@@ -220,12 +221,30 @@
 
 @when('the part "{key}" is quarantined')
 def when_quarantined(context, key):
-    document = {"term": 99, "serial": 1, "parts": {key: [3, 60.0, False]}}
+    document = {"term": 99, "serial": 1, "parts": {key: [3, 1.0, False]}}
     context.simulation.call_in_loop(
         lambda: context.simulation.fleet.store.put("quarantine", "parts", document)
     )
 
 
+@given("streams cannot be resumed")
+def given_no_resume(context):
+    routes = default_routes()
+    routes[0] = {**routes[0], "streamResume": False}
+    document = configuration_document(2, routes=routes)
+    context.simulation.call_in_loop(
+        lambda: context.simulation.fleet.store.put("config", "main", document)
+    )
+
+
+@then("the first stream is a trial that was answered")
+def then_trial_answered(context):
+    stream = context.streams[0]
+    assert stream.response.status == 200, stream.response.body
+    assert stream.response.is_finished
+    assert stream.events() == list(range(1, 28)), stream.events()
+
+
 @then("the first stream got {status:d} and has an attempt that was withdrawn")
 def then_withdrawn(context, status):
     stream = context.streams[0]
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -334,7 +334,7 @@
             if self._can_run_again(request, route, attempts):
                 wake_at = min(deadline, stalled_at(route, receiver, load, latency, now))
             if attempts.is_trial:
-                self._report_survival(request, admitted, receiver, now)
+                self._report_survival(request, admitted, attempts, receiver, now)
                 wake_at = min(wake_at, now + TRIAL_CHECK_INTERVAL_S)
             await asyncio.wait(
                 {exchange, self._quarantine.changed},
@@ -347,12 +347,11 @@
             if now >= deadline:
                 return TimedOut()
             if receiver.first_event_at is None and not attempts.is_trial:
-                match self._quarantine.find_blocked(
-                    admitted.service, request.needs.shared_parts
-                ):
+                parts = request.needs.shared_parts
+                match self._quarantine.find_blocked(admitted.service, parts):
                     case Blocked(key):
                         return Withdrawn(key)
-            if now < wake_at:
+            if not self._can_run_again(request, route, attempts):
                 continue
             if now >= stalled_at(route, receiver, load, latency, now):
                 silent_s = now - receiver.progress_at
@@ -381,10 +380,11 @@
                 )
         return False
 
-    def _report_survival(self, request, admitted, receiver, now):
+    def _report_survival(self, request, admitted, attempts, receiver, now):
         """Report a trial whose answer goes on, before it is complete."""
         first_at = receiver.first_event_at
         if first_at is not None and now - first_at >= SURVIVED_S:
+            attempts.is_trial = False
             parts = request.needs.shared_parts
             self._quarantine.record_answer(admitted.service, parts)
 
