Count crashes again when the part that explained them is released

Evidence is kept now, and not counted while a quarantined part explains it. The new scenario failed before (nothing on the list) and passes.

--- a/features/platform/evidence.feature
+++ b/features/platform/evidence.feature
@@ -48,6 +48,14 @@
     When 5 servers end under "deadly", and "beside" is reported first for each
     Then only the parts "deadly" are on the list
 
+  # Guards against: a sound part that is quarantined first clears the deadly one beside it.
+  Scenario: The release of a sound part brings back what counts against the others
+    When 3 servers end under the parts "sound" and, at 2 of them, "deadly"
+    Then only the parts "sound" are on the list
+    When the part "sound" is answered
+    And 1 more server ends under the part "deadly" and another request
+    Then only the parts "deadly" are on the list
+
   Scenario: The evidence stays bounded, whatever callers send
     When servers end under 200000 different parts, of 100 requests each
     Then the leader knows at most 1064 parts
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -89,6 +89,11 @@
     assert quarantined_keys(context) == {key}, quarantined_keys(context)
 
 
+@when('the part "{key}" is answered')
+def when_answered(context, key):
+    assert table_of(context).record_answer(key, context.now)
+
+
 @given('the part "{key}" was quarantined and released')
 def given_released(context, key):
     end_servers(context, 3, key)
--- a/pimentogap/quarantine/_evidence.py
+++ b/pimentogap/quarantine/_evidence.py
@@ -70,10 +70,14 @@
         """Return how many backend servers ended under the part."""
         return self.earlier_strikes + len(self.lives)
 
-    def suffices(self):
-        """Return whether the evidence is enough to quarantine the part."""
+    def suffices(self, explained_lives):
+        """Return whether the evidence is enough to quarantine the part.
+
+        :param explained_lives: the servers that ended under quarantined parts.
+        """
         least = MIN_LIVES_AGAIN if self.was_released else MIN_LIVES
-        return self.strikes >= least and len(self.request_ids) >= MIN_REQUESTS
+        is_repeated = len(self.request_ids) >= MIN_REQUESTS
+        return is_repeated and len(self.lives - explained_lives) >= least
 
 
 class EvidenceTable:
@@ -112,24 +116,10 @@
 
     def record_strikes(self, strikes, now):
         """Record `Strike` evidence; return the keys that it quarantines."""
-        struck_by_key = {}
-        # Those of quarantined parts first, since they explain the others.
-        for strike in sorted(strikes, key=self._is_unexplained):
-            suspect = self._record_strike(strike, now)
-            if suspect is not None:
-                struck_by_key[strike.key] = suspect
-        convicted = [
-            key
-            for key, suspect in struck_by_key.items()
-            if not suspect.is_quarantined and suspect.suffices()
-        ]
-        for key in convicted:
-            struck_by_key[key].is_quarantined = True
-        quarantined = [item for item in struck_by_key.values() if item.is_quarantined]
-        for suspect in quarantined:
-            self._explain_lives(suspect)
-        if quarantined:
+        struck = [self._record_strike(strike, now) for strike in strikes]
+        if any(suspect is not None and suspect.is_quarantined for suspect in struck):
             self._serial += 1
+        convicted = self._convict()
         self._forget_old(now)
         return convicted
 
@@ -181,8 +171,6 @@
     def _record_strike(self, strike, now):
         """Return the `Suspect` if the strike is new evidence, else ``None``."""
         suspect = self._suspects_by_key.get(strike.key)
-        if self._is_unexplained(strike) and self._is_explained(strike.life):
-            return None
         if suspect is None:
             suspect = Suspect(now, was_released=strike.key in self._released_keys)
             self._suspects_by_key[strike.key] = suspect
@@ -196,25 +184,26 @@
         is_new = known != (len(suspect.lives), len(suspect.request_ids))
         return suspect if is_new else None
 
-    def _is_unexplained(self, strike):
-        suspect = self._suspects_by_key.get(strike.key)
-        return suspect is None or not suspect.is_quarantined
-
-    def _is_explained(self, life):
-        """Return whether a quarantined part is why a backend server ended."""
-        return any(
-            life in suspect.lives
-            for suspect in self._suspects_by_key.values()
-            if suspect.is_quarantined
-        )
+    def _convict(self):
+        """Quarantine the parts against which the evidence suffices; return their keys.
 
-    def _explain_lives(self, quarantined):
-        """Drop what counts against others only because they ran beside the part."""
-        for key, suspect in list(self._suspects_by_key.items()):
-            if not suspect.is_quarantined:
-                suspect.lives -= quarantined.lives
-                if not suspect.lives:
-                    del self._suspects_by_key[key]
+        What ended under a quarantined part does not count against those beside it, as
+        long as it is quarantined.
+        """
+        explained = set()
+        for suspect in self._suspects_by_key.values():
+            if suspect.is_quarantined:
+                explained |= suspect.lives
+        convicted = [
+            key
+            for key, suspect in self._suspects_by_key.items()
+            if not suspect.is_quarantined and suspect.suffices(explained)
+        ]
+        for key in convicted:
+            self._suspects_by_key[key].is_quarantined = True
+        if convicted:
+            self._serial += 1
+        return convicted
 
     def _trial_after_s(self, suspect):
         """Return the time to the trial of a request without other quarantined parts.
--- a/pimentogap/quarantine/_judge.py
+++ b/pimentogap/quarantine/_judge.py
@@ -77,11 +77,12 @@
                 backend=strike.life,
                 id=strike.request_id,
             )
-        for key in table.record_strikes(strikes, now):
-            log.warning("prompt part quarantined", part=key, term=self._lease.term)
+        # First, since the release of a sound part can leave a deadly one as the cause.
         for report in served:
             if table.record_answer(report.key, now - report.ago_s):
                 log.notice("prompt part released", part=report.key)
+        for key in table.record_strikes(strikes, now):
+            log.warning("prompt part quarantined", part=key, term=self._lease.term)
         self._publish(table.quarantined())
 
     async def write_lists(self):
