Name the newest list as other services do, and shorten refusals

`current` as in serving_configuration, instead of an attribute that hides a builtin; two constants no longer share a name; the time that is left is a plain argument of refusals.

--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -70,25 +70,18 @@
                 response.finish()
                 self.log_end(request, admitted, attempts, "backend_failed", status)
             case Full():
-                self._refuse_unserved(
-                    request, admitted, attempts, "full", remaining_s=remaining_s
-                )
+                self._refuse_unserved(request, admitted, attempts, "full", remaining_s)
             case Missing():
                 self._refuse_unserved(
-                    request, admitted, attempts, "missing", remaining_s=remaining_s
+                    request, admitted, attempts, "missing", remaining_s
                 )
             case NotRun(retry_after_s=after_s):
                 self._refuse_unserved(
-                    request,
-                    admitted,
-                    attempts,
-                    "not_run",
-                    after_s,
-                    remaining_s=remaining_s,
+                    request, admitted, attempts, "not_run", remaining_s, after_s
                 )
             case NotSent():
                 self._refuse_unserved(
-                    request, admitted, attempts, "not_sent", remaining_s=remaining_s
+                    request, admitted, attempts, "not_sent", remaining_s
                 )
             case Blocked(trial_in_s=trial_in_s):
                 after_s = max(MIN_BLOCKED_S, trial_in_s)
@@ -109,7 +102,7 @@
                 )
 
     def _refuse_unserved(
-        self, request, admitted, attempts, reason, after_s=None, *, remaining_s
+        self, request, admitted, attempts, reason, remaining_s, after_s=None
     ):
         """Refuse with 503, or with 502 if an attempt may have run.
 
--- a/pimentogap/quarantine/_judge.py
+++ b/pimentogap/quarantine/_judge.py
@@ -90,7 +90,9 @@
         while True:
             await self._unwritten.wait()
             self._unwritten.clear()
-            if self._lease.is_held() and not await self._write(self._quarantine.list):
+            if self._lease.is_held() and not await self._write(
+                self._quarantine.current
+            ):
                 await self._kernel.clock.sleep(RETRY_DELAY_S)
                 self._unwritten.set()
 
@@ -101,13 +103,13 @@
             self._table = EvidenceTable(
                 self._lease.term,
                 self._react_s,
-                self._quarantine.list,
+                self._quarantine.current,
                 self._kernel.clock.time(),
             )
         return self._table
 
     def _publish(self, quarantined):
-        if quarantined.serial and quarantined.order > self._quarantine.list.order:
+        if quarantined.serial and quarantined.order > self._quarantine.current.order:
             self._quarantine.apply_list(quarantined)
             self._unwritten.set()
 
@@ -123,5 +125,5 @@
                 self.version = current.version if current is not None else 0
                 if current is not None:
                     self._quarantine.apply_document(current.value)
-                return self._quarantine.list.order > quarantined.order
+                return self._quarantine.current.order > quarantined.order
         return False
--- a/pimentogap/quarantine/_service.py
+++ b/pimentogap/quarantine/_service.py
@@ -26,7 +26,7 @@
 log = Logger("quarantine")
 
 TRIAL_CALL = "prompt_part_trial"
-TRIAL_TIMEOUT_S = 0.4
+TRIAL_CALL_TIMEOUT_S = 0.4
 # A daemon asks for a trial of one part at most once in this time.
 TRIAL_ASK_INTERVAL_S = 0.5
 # A request that was lost waits this long for the verdict before it is sent again.
@@ -60,14 +60,14 @@
     While no leader answers, reports go to the store, and each daemon blocks for a while
     what it finds in them.
 
-    ``list`` is the newest `QuarantineList`. ``loaded`` says that the store's was read.
+    ``current`` is the newest `QuarantineList`; ``loaded`` says that the store was read.
     ``changed`` is a future that the next change of what is blocked ends.
     """
 
     name = "quarantine"
     requires = ("store", "relay", "lease", "calls", "metrics")
     __slots__ = (
-        "list",
+        "current",
         "loaded",
         "changed",
         "_id",
@@ -88,7 +88,7 @@
         :param daemon_id: names the object of this daemon's reports.
         :param react_s: in seconds; the platform states it.
         """
-        self.list = QuarantineList()
+        self.current = QuarantineList()
         self.loaded = False
         self.changed = None
         self._id = daemon_id
@@ -216,7 +216,7 @@
 
     def apply_list(self, newer):
         """Block the parts of the `QuarantineList` ``newer``, if it is newer."""
-        if newer.order <= self.list.order:
+        if newer.order <= self.current.order:
             return
         now = self._kernel.clock.time()
         before, self._known_by_key = self._known_by_key, {}
@@ -228,7 +228,7 @@
         added = self._known_by_key.keys() - before.keys()
         for key in added:
             self._report_if_refuted(key)
-        self.list = newer
+        self.current = newer
         # Whoever leads knows by now what daemons found without a leader.
         self._provisional_table = None
         self._provisional_until_by_key.clear()
@@ -257,8 +257,8 @@
                 blocked=sorted(added),
                 released=sorted(removed),
                 known=len(self._known_by_key),
-                term=self.list.term,
-                serial=self.list.serial,
+                term=self.current.term,
+                serial=self.current.serial,
             )
 
     def _notify(self):
@@ -320,7 +320,7 @@
             return False
         try:
             answer = await self._kernel.get("calls").call(
-                address, TRIAL_CALL, {"key": key}, timeout_s=TRIAL_TIMEOUT_S
+                address, TRIAL_CALL, {"key": key}, timeout_s=TRIAL_CALL_TIMEOUT_S
             )
         except (PeerUnreachable, ResponseLost) as error:
             log.info("no answer to a trial", leader=address, error=str(error))
