Read the limits that backend servers name, and log them

Change: the header is decoded into NoLimit, NamedLimit or UnreadableLimit, a service records it by backend server and incarnation, and logs 'limit named' when it changes. Nothing acts on it yet. The emulator's model replicas name limits.

--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -9,6 +9,8 @@
 # Fewer bytes than this are no progress unless they complete an event: a backend server
 # that sends a byte now and then has stalled.
 MIN_PROGRESS_BYTES = 512
+# Another backend server may have given the answer.
+MISDIRECTED_STATUS = 421
 
 
 class AnswerReceiver:
@@ -36,15 +38,19 @@
         "_began_at",
         "_clock",
         "_request",
+        "_record_limit",
     )
 
-    def __init__(self, request, load, latency, codec, clock, event_filter):
+    def __init__(
+        self, request, load, latency, codec, clock, event_filter, record_limit
+    ):
         """Pass the answer on to the caller of ``request``.
 
         :param load: the `BackendLoad` of the backend server.
         :param latency: the `ModelLatency` of the model, for a stream.
         :param codec: reads and writes the platform's headers.
         :param event_filter: the stream's `EventFilter`, or ``None`` for a plain answer.
+        :param record_limit: called with the limit that the backend server names.
         """
         self.answer = None
         self.progress_at = clock.time()
@@ -61,6 +67,7 @@
         self._began_at = self.progress_at
         self._clock = clock
         self._request = request
+        self._record_limit = record_limit
         if event_filter is not None:
             event_filter.discard_partial_event()
 
@@ -83,6 +90,8 @@
         self._record_progress()
         if self.answer.load is not None:
             self._load.record_report(self.answer.load, self.progress_at)
+        if self.answer.attempt_id and self.answer.status != MISDIRECTED_STATUS:
+            self._record_limit(self.answer.limit)
 
     async def data_received(self, chunk):
         """Pass on the complete part of ``chunk`` and buffer the remainder."""
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -66,6 +66,7 @@
         "metrics",
         "pauses",
         "quarantine",
+        "permits",
     )
     __slots__ = (
         "_pool",
@@ -74,6 +75,7 @@
         "_placement",
         "_configuration",
         "_quarantine",
+        "_permits",
         "_responder",
         "_budget",
         "_stops_at",
@@ -95,6 +97,7 @@
         self._placement = None
         self._configuration = None
         self._quarantine = None
+        self._permits = None
         self._responder = None
         self._budget = RetryBudget(
             ratio=settings.retry_ratio,
@@ -112,6 +115,7 @@
         self._placement = kernel.get("placement")
         self._configuration = kernel.get("serving_configuration")
         self._quarantine = kernel.get("quarantine")
+        self._permits = kernel.get("permits")
         self._responder = Responder(kernel, self._codec)
 
     async def stop(self):
@@ -263,6 +267,7 @@
             self._codec,
             self._kernel.clock,
             attempts.event_filter,
+            self._permits.recorder(backend),
         )
         load.in_flight += 1
         exchange = asyncio.ensure_future(
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -1,8 +1,16 @@
 """Decodes and encodes the platform's headers of requests and answers."""
 
 import hashlib
-
-from pimentogap.types import BackendAnswer, EngineLoad, RequestNeeds
+import math
+
+from pimentogap.types import (
+    BackendAnswer,
+    EngineLoad,
+    NamedLimit,
+    NoLimit,
+    RequestNeeds,
+    UnreadableLimit,
+)
 
 ATTEMPT_ID = "X-Pimentogap-Attempt-Id"
 DEADLINE = "X-Pimentogap-Deadline-Ms"
@@ -14,11 +22,13 @@
 MODEL = "X-Pimentogap-Model"
 PROMPT_PARTS = "X-Pimentogap-Prompt-Prefix"
 FAULTY_SERVER = "At-Server"
+LIMIT = "Server-Limit"
 LAST_EVENT = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 BEARER_PREFIX = "bearer "
 MS_PER_S = 1000
 MAX_PART_ID_CHARS = 40
+MAX_LOGGED_LIMIT_CHARS = 40
 
 # Hop-by-hop headers, and headers that the daemon sets itself.
 DROPPED_FROM_REQUEST = frozenset(
@@ -117,6 +127,7 @@
             load=_engine_load(headers.get(LOAD)),
             retry_after_s=_float_or_none(headers.get("Retry-After")),
             culprit=headers.get(FAULTY_SERVER),
+            limit=_limit(headers.get(LIMIT)),
         )
 
     def response_headers(self, headers):
@@ -168,6 +179,15 @@
     return EngineLoad(*(int(part) for part in parts))
 
 
+def _limit(text):
+    if text is None:
+        return NoLimit()
+    per_s = _float_or_none(text)
+    if per_s is None or not math.isfinite(per_s) or per_s < 0:
+        return UnreadableLimit(text[:MAX_LOGGED_LIMIT_CHARS])
+    return NamedLimit(per_s)
+
+
 def _int_or_none(text):
     text = (text or "").strip()
     return int(text) if text.isdigit() else None
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -26,6 +26,7 @@
 from pimentogap.metrics import MetricService
 from pimentogap.pauses import PauseService
 from pimentogap.peers.grpc import GrpcTransport
+from pimentogap.permits import PermitService
 from pimentogap.placement import PlacementService
 from pimentogap.platform import (
     BACKEND_COLLECTION,
@@ -125,6 +126,7 @@
         DaemonsService(settings),
         RelayService(first_start=settings.first_start),
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
+        PermitService(),
         PlacementService(),
         QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -193,13 +193,33 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoLimit:
+    """The answer names no limit on requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """The backend server takes ``per_s`` requests a second from all daemons."""
+
+    per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """The answer names a limit, and ``text`` is no number of requests a second."""
+
+    text: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BackendAnswer:
     """The status line and headers of a backend server's answer.
 
     ``sealed`` says that the answer has the engine's seal, ``not_run`` that the
     request did not run. ``culprit`` is the server that the answer names as the cause
-    of its failure, if it names one.
+    of its failure, if it names one. ``limit`` is a `NoLimit`, `NamedLimit` or
+    `UnreadableLimit`.
     """
 
     status: int
@@ -209,3 +229,4 @@
     load: EngineLoad | None
     retry_after_s: float | None = None
     culprit: str | None = None
+    limit: NoLimit | NamedLimit | UnreadableLimit = NoLimit()
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -42,6 +42,7 @@
     part of an event each 0.1 s and never completes it. A request with
     one of the ``deadly_parts`` in its prompt crashes the replica when it begins to run;
     while ``is_down``, until the replica is back, nothing listens on its address.
+    ``limit_text`` is what its answers name as the requests a second that it takes.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "slow_factor",
         "trickles_after",
         "deadly_parts",
+        "limit_text",
         "is_down",
         "running",
         "slots",
@@ -110,6 +112,7 @@
         self.slow_factor = 1.0
         self.trickles_after = None
         self.deadly_parts = ()
+        self.limit_text = None
         self.is_down = False
         self.slots = engine["slots"]
         self.staged = []
--- a/standins/emulator/_serving.py
+++ b/standins/emulator/_serving.py
@@ -55,15 +55,15 @@
         now = asyncio.get_running_loop().time()
         workspace = headers.get("x-pimentogap-tenant")
         replica.records.runs.append(Run(attempt_id, replica.id, workspace, now))
-        reply.start(
-            200,
-            {
-                "Content-Type": "text/event-stream",
-                "X-Pimentogap-Attempt-Id": attempt_id,
-                "X-Pimentogap-Replica-Seal": f"seal-{replica.id}",
-                "X-Pimentogap-Replica-Load": f"{replica.running},0,{replica.slots}",
-            },
-        )
+        head = {
+            "Content-Type": "text/event-stream",
+            "X-Pimentogap-Attempt-Id": attempt_id,
+            "X-Pimentogap-Replica-Seal": f"seal-{replica.id}",
+            "X-Pimentogap-Replica-Load": f"{replica.running},0,{replica.slots}",
+        }
+        if replica.limit_text is not None:
+            head["Server-Limit"] = replica.limit_text
+        reply.start(200, head)
         events = -(-int(output) // EVENT_TOKENS)
         for number in range(first, events + 1):
             if replica.trickles_after is not None and number > replica.trickles_after:
