Reproduce the excess over a named limit in scenarios that fail

Each head of a model that names a limit gets more than 1.5 times it and 5 in 4 s on the emulator: 19 where 14.6 are allowed with 6 daemons, 30 with 60.

--- a/features/platform/limits.feature
+++ b/features/platform/limits.feature
@@ -1,5 +1,20 @@
 Feature: Limits on requests that replicas name
 
+  # Guards against: each daemon goes on by load alone when a replica names its limit.
+  Scenario Outline: A replica that names a limit gets no more than it allows (LIMIT)
+    Given a platform with 6 fabric domains of 8 replicas and <daemons> daemons
+    And its groups are open
+    And 0.7 of the heads of model large name a limit of <limit> requests a second
+    When <rate> streams of model large arrive each second at all daemons for 14 seconds
+    Then from 3 seconds after it named its limit each head got at most 1.5 times that, and 5, in any 4 seconds
+    And at least 0.97 of the streams began at the first attempt
+
+    Examples:
+      | daemons | limit | rate |
+      | 6       | 1.6   | 24   |
+      | 6       | 3.2   | 48   |
+      | 60      | 1.6   | 24   |
+
   Scenario: The log says which limit a replica named, and that it ended
     Given a platform with 6 fabric domains of 8 replicas and 3 daemons
     And its groups are open
