Keep the limits that backend servers name, over all daemons

What callers saw: nothing; backend servers in need got up to twice what they had asked for. Cause: no daemon acted on a named limit, and what one daemon can count by itself says nothing about the fleet. Class: a limit on a shared resource that each process would keep alone. Change: for each backend server that names a limit one daemon, found by rendezvous hashing over the list of daemons, gives out permits at that rate; the others ask it before they send, several requests by one call. A daemon that cannot reach the owner has an even share of the limit, so that all shares together are no more than it; an owner that is no longer one by its own list gives nothing out. What an answer says is in force at once, and a list of the leader tells the other daemons through the relays. Placement passes over servers without a permit; without another the caller is refused at once, with the time of the next permit at least. Ruled out: an even share for each daemon alone (195 daemons would share 1.6 a second, and most of it would not be used); permits from the leader alone (no permits without a store, and all calls at one daemon); a limit that is only learnt from one's own answers.

--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -19,7 +19,7 @@
 )
 from pimentogap.forwarding._returns import return_delay_s
 from pimentogap.metrics import Series
-from pimentogap.placement import Full, Missing
+from pimentogap.placement import Full, Limited, Missing
 from pimentogap.quarantine import Blocked
 
 log = Logger("forwarding")
@@ -71,6 +71,13 @@
                 self.log_end(request, admitted, attempts, "backend_failed", status)
             case Full():
                 self._refuse_unserved(request, admitted, attempts, "full", remaining_s)
+            case Limited(next_in_s):
+                after_s = max(
+                    next_in_s, return_delay_s(remaining_s, self._kernel.random)
+                )
+                self._refuse_unserved(
+                    request, admitted, attempts, "limited", remaining_s, after_s
+                )
             case Missing():
                 self._refuse_unserved(
                     request, admitted, attempts, "missing", remaining_s
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -29,7 +29,8 @@
     is_stream,
 )
 from pimentogap.forwarding._stalls import stalled_at
-from pimentogap.placement import Forward, Full, Missing, RetryBudget
+from pimentogap.permits import Denied
+from pimentogap.placement import Forward, Full, Limited, Missing, RetryBudget
 from pimentogap.quarantine import Blocked, Trial
 
 log = Logger("forwarding")
@@ -201,10 +202,13 @@
             match choice:
                 case Forward(backend):
                     pass
-                case Full() | Missing():
+                case Full() | Limited() | Missing():
                     return outcome or choice
+            if isinstance(await self._permits.acquire(backend), Denied):
+                continue
             verdict = await self._screen(request, admitted)
             if isinstance(verdict, Blocked):
+                self._permits.give_back(backend)
                 return outcome or verdict
             attempts.is_trial = isinstance(verdict, Trial)
             remaining_s = deadline - self._kernel.clock.time()
@@ -368,13 +372,17 @@
     def _has_alternative(self, request, admitted, attempts, load):
         """Tell whether the budget allows a retry and another backend server suits.
 
-        That one is not suspected and has no more expected requests than this one.
+        That one is not suspected, names no limit and has no more expected requests
+        than this one.
         """
         if not self._has_retry_budget(admitted.service):
             return False
         model = request.needs.model if admitted.route.carries_model else ""
         choice = self._placement.choose(
-            admitted.service, model, excluded=attempts.excluded_ids | {load.backend_id}
+            admitted.service,
+            model,
+            excluded=attempts.excluded_ids | {load.backend_id},
+            allow_limited=False,
         )
         match choice:
             case Forward(backend):
--- a/pimentogap/permits/_known.py
+++ b/pimentogap/permits/_known.py
@@ -81,3 +81,8 @@
         if limit is None:
             return known is not None
         return not limit.is_like(known)
+
+    def forget(self, is_listed):
+        """Forget the backend servers for whose id ``is_listed`` returns ``False``."""
+        for id_ in [id_ for id_ in self._limits_by_id if not is_listed(id_)]:
+            del self._limits_by_id[id_]
--- a/pimentogap/permits/_service.py
+++ b/pimentogap/permits/_service.py
@@ -4,41 +4,227 @@
 
 from logbook import Logger
 
+from pimentogap.errors import PeerUnreachable, ResponseLost
+from pimentogap.kernel import RestartOnError
 from pimentogap.metrics import Series
-from pimentogap.permits._known import KnownLimits, read_limit
+from pimentogap.permits._book import OWNER_COOLDOWN_S, PermitBook
+from pimentogap.permits._bucket import PermitIssuer
+from pimentogap.permits._bulletin import LimitBulletin
+from pimentogap.permits._known import BackendLimit, KnownLimits, read_limit
+from pimentogap.permits._owners import owner_address
+from pimentogap.permits._types import Denied, Granted
 
 log = Logger("permits")
 
+PERMIT_CALL = "permits"
+PERMIT_TIMEOUT_S = 0.2
+PRUNE_INTERVAL_S = 10.0
+# Spreads the returns of daemons that found no permit.
+RETURN_SPREAD = 0.3
+GRANTED = Granted()
+
 
 class PermitService:
-    """Learns from answers how many requests a second a backend server takes."""
+    """Sends a backend server that names a limit no more requests than it takes.
+
+    For each such server one daemon, its owner, gives out permits at the rate of the
+    limit, and every other daemon asks it before it sends a request. A daemon that
+    cannot reach the owner has an even share of the limit. What an answer says of a
+    limit is in force at once; the leader's list tells the other daemons.
+    """
 
     name = "permits"
-    requires = ("metrics",)
-    __slots__ = ("_kernel", "_known")
+    requires = ("calls", "daemons", "directory", "lease", "metrics", "relay", "store")
+    __slots__ = (
+        "_kernel",
+        "_daemons",
+        "_directory",
+        "_known",
+        "_issuer",
+        "_bulletin",
+        "_books_by_id",
+    )
 
     def __init__(self):
         self._kernel = None
+        self._daemons = None
+        self._directory = None
         self._known = KnownLimits()
+        self._issuer = PermitIssuer()
+        self._bulletin = None
+        self._books_by_id = {}
 
     async def start(self, kernel):
-        """Use the metrics of ``kernel``."""
+        """Follow the leader's list, and answer the calls of other daemons."""
         self._kernel = kernel
+        self._daemons = kernel.get("daemons")
+        self._directory = kernel.get("directory")
+        self._bulletin = LimitBulletin(kernel, self._apply)
+        kernel.get("calls").register(PERMIT_CALL, self._answer_permits)
+        for task in (
+            self._bulletin.send_reports,
+            self._bulletin.write_lists,
+            self._prune_unlisted,
+        ):
+            kernel.spawn(self.name, task, on_error=RestartOnError())
 
     async def stop(self):
-        """Do nothing; the service has no task."""
+        """Do nothing; the kernel ends the tasks."""
 
     def recorder(self, backend):
         """Return a function that records the limit in an answer of ``backend``."""
         return partial(self._record_limit, backend)
 
+    def is_limited(self, backend):
+        """Return whether ``backend`` names a limit."""
+        return self._known.per_s(backend) is not None
+
+    def next_in_s(self, backend):
+        """Return the seconds for which it is known that no permit is to be had."""
+        if not self.is_limited(backend):
+            return 0.0
+        book = self._books_by_id.get(backend.id)
+        if book is None:
+            return 0.0
+        return max(0.0, book.denied_until - self._kernel.clock.time())
+
+    async def acquire(self, backend):
+        """Return `Granted` or `Denied` for a request that is to be sent now."""
+        if not self.is_limited(backend):
+            return GRANTED
+        book = self._book(backend)
+        book.waiting += 1
+        try:
+            async with book.lock:
+                return await self._acquire_limited(backend, book)
+        finally:
+            book.waiting -= 1
+
+    def give_back(self, backend):
+        """Return a permit of a request that was not sent after all."""
+        if self.is_limited(backend):
+            self._book(backend).add(1, self._kernel.clock.boot_time())
+
+    def _book(self, backend):
+        book = self._books_by_id.get(backend.id)
+        if book is None:
+            book = PermitBook(self._kernel.clock.time())
+            self._books_by_id[backend.id] = book
+        return book
+
+    async def _acquire_limited(self, backend, book):
+        clock = self._kernel.clock
+        per_s = self._known.per_s(backend)
+        if per_s is None or book.take(clock.boot_time()):
+            return GRANTED
+        now = clock.time()
+        if now < book.denied_until:
+            return Denied(book.denied_until - now)
+        asked_at = clock.boot_time()
+        limit = BackendLimit(backend.incarnation, per_s)
+        answer = await self._ask_owner(backend.id, limit, book)
+        if answer is None:
+            next_in_s = book.take_own_share(per_s / self._daemons.count, clock.time())
+            if next_in_s <= 0:
+                return GRANTED
+        else:
+            permits, next_in_s = answer
+            book.add(permits, asked_at)
+            if book.take(clock.boot_time()):
+                return GRANTED
+            next_in_s *= self._kernel.random.uniform(1.0, 1.0 + RETURN_SPREAD)
+        book.denied_until = clock.time() + next_in_s
+        return Denied(next_in_s)
+
+    async def _ask_owner(self, backend_id, limit, book):
+        """Return permits and the seconds until the next, or ``None`` without an owner.
+
+        :param limit: the `BackendLimit` of the backend server.
+        """
+        clock = self._kernel.clock
+        calls = self._kernel.get("calls")
+        address = self._owner(backend_id)
+        if address == calls.address:
+            return self._issuer.issue(backend_id, limit, book.waiting, clock.time())
+        if not address or clock.time() < book.owner_failed_until:
+            return None
+        body = {
+            "backend": backend_id,
+            "incarnation": limit.incarnation,
+            "per_s": limit.per_s,
+            "wanted": book.waiting,
+        }
+        try:
+            answer = await calls.call(
+                address, PERMIT_CALL, body, timeout_s=PERMIT_TIMEOUT_S
+            )
+            return int(answer["permits"]), float(answer["next_in_s"])
+        except (
+            PeerUnreachable,
+            ResponseLost,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            book.owner_failed_until = clock.time() + OWNER_COOLDOWN_S
+            log.info(
+                "owner of permits not reached",
+                backend=backend_id,
+                owner=address,
+                error=repr(error),
+            )
+            return None
+
+    def _owner(self, backend_id):
+        return owner_address(backend_id, self._daemons.addresses_by_id.values())
+
+    async def _answer_permits(self, body):
+        """Give out permits; nothing if another daemon owns the backend server.
+
+        Two daemons whose lists of daemons differ would otherwise both give them out.
+        """
+        try:
+            backend_id = str(body["backend"])
+            limit = BackendLimit(int(body["incarnation"]), float(body["per_s"]))
+            wanted = max(1, int(body["wanted"]))
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning("call for permits not readable", error=repr(error))
+            return {}
+        if self._owner(backend_id) != self._kernel.get("calls").address:
+            return {}
+        backend = self._directory.backends_by_id.get(backend_id)
+        known_per_s = self._known.per_s(backend) if backend is not None else None
+        if known_per_s is not None:
+            limit = BackendLimit(backend.incarnation, known_per_s)
+        if not limit.per_s > 0:
+            return {}
+        now = self._kernel.clock.time()
+        permits, next_in_s = self._issuer.issue(backend_id, limit, wanted, now)
+        return {"permits": permits, "next_in_s": next_in_s}
+
     def _record_limit(self, backend, limit):
         """Record a `NoLimit`, `NamedLimit` or `UnreadableLimit`."""
         named = read_limit(backend, limit)
         if named is None:
             log.warning("limit not readable", backend=backend.id, limit=limit.text)
             return
-        if self._known.put(backend.id, named):
-            log.notice("limit named", backend=backend.id, per_s=named.per_s)
+        self._apply(backend.id, named)
+        self._bulletin.report(backend.id, named)
+
+    def _apply(self, backend_id, limit):
+        if self._known.put(backend_id, limit):
+            per_s = limit.per_s if limit is not None else None
+            log.notice("limit named", backend=backend_id, per_s=per_s)
             gauge = Series("limited_backends", "-", "-")
             self._kernel.get("metrics").set_gauge(gauge, len(self._known))
+
+    async def _prune_unlisted(self):
+        while True:
+            await self._kernel.clock.sleep(PRUNE_INTERVAL_S)
+            listed = self._directory.backends_by_id.keys()
+            listed |= self._directory.absent_by_id.keys()
+            self._issuer.forget(listed.__contains__)
+            for id_ in self._books_by_id.keys() - listed:
+                if not self._books_by_id[id_].waiting:
+                    del self._books_by_id[id_]
+            self._known.forget(listed.__contains__)
--- a/pimentogap/placement/__init__.py
+++ b/pimentogap/placement/__init__.py
@@ -3,12 +3,19 @@
 from pimentogap.placement._budget import RetryBudget
 from pimentogap.placement._latency import ModelLatency
 from pimentogap.placement._loads import BackendLoad
-from pimentogap.placement._service import Forward, Full, Missing, PlacementService
+from pimentogap.placement._service import (
+    Forward,
+    Full,
+    Limited,
+    Missing,
+    PlacementService,
+)
 
 __all__ = [
     "BackendLoad",
     "Forward",
     "Full",
+    "Limited",
     "Missing",
     "ModelLatency",
     "PlacementService",
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -32,6 +32,16 @@
     requests_per_slot: float
 
 
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """Every backend server with room has named a limit and got all that it takes.
+
+    The first of them takes another request in ``next_in_s`` seconds.
+    """
+
+    next_in_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Missing:
     """There is no backend server for the request at present."""
@@ -41,10 +51,11 @@
     """Chooses among the least loaded backend servers, by estimates of their load."""
 
     name = "placement"
-    requires = ("directory", "serving_configuration")
+    requires = ("directory", "serving_configuration", "permits")
     __slots__ = (
         "_kernel",
         "_directory",
+        "_permits",
         "_configuration",
         "loads_by_key",
         "_latencies_by_model",
@@ -53,6 +64,7 @@
     def __init__(self):
         self._kernel = None
         self._directory = None
+        self._permits = None
         self._configuration = None
         self.loads_by_key = {}
         self._latencies_by_model = {}
@@ -61,6 +73,7 @@
         """Start the task that prunes the loads of unlisted backend servers."""
         self._kernel = kernel
         self._directory = kernel.get("directory")
+        self._permits = kernel.get("permits")
         self._configuration = kernel.get("serving_configuration")
         kernel.spawn(self.name, self._prune_unlisted)
 
@@ -83,20 +96,34 @@
             latency = self._latencies_by_model[key] = ModelLatency()
         return latency
 
-    def choose(self, service, model, *, excluded=()):
-        """Return `Forward`, `Full` or `Missing` for a request.
+    def choose(self, service, model, *, excluded=(), allow_limited=True):
+        """Return `Forward`, `Full`, `Limited` or `Missing` for a request.
 
         :param service: the name of the service.
         :param model: the name of the model; empty for a plain service.
         :param excluded: ids of backend servers that had an attempt of this request.
+        :param allow_limited: whether a backend server that names a limit may be chosen.
         """
         if model:
             candidates = self._directory.heads(service, model)
         else:
             candidates = self._directory.backends(service)
-        candidates = [item for item in candidates if item.id not in excluded]
+        candidates = [
+            item
+            for item in candidates
+            if item.id not in excluded
+            and (allow_limited or not self._permits.is_limited(item))
+        ]
         if not candidates:
             return Missing()
+        waits_s = [self._permits.next_in_s(item) for item in candidates]
+        if min(waits_s) > 0:
+            return Limited(min(waits_s))
+        candidates = [
+            item
+            for item, wait_s in zip(candidates, waits_s, strict=True)
+            if wait_s <= 0
+        ]
         now = self._kernel.clock.time()
         unsuspected = [
             item for item in candidates if not self.load(item).is_suspect(now)
