--- a/pimentogap/permits/_bucket.py
+++ b/pimentogap/permits/_bucket.py
@@ -3,7 +3,7 @@
 from collections import deque
 
 # Permits that may be saved up, in seconds of the limit.
-BURST_S = 0.1
+BURST_S = 0.3
 # Permits that are given beyond what was asked for, in seconds of the limit, so that
 # large limits do not cost a call for each request.
 PREFETCH_S = 0.1
