--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -31,14 +31,22 @@
 # link of 10 Mbit/s that other answers share.
 TRANSFER = TransferLimits(stall_s=0.6, total_s=6.0)
 MS_PER_S = 1000
+# Rises each time the store comes back from a copy.
+ERA = "Store-Era"
+MAX_ERA_DIGITS = 9
 
 
 class ObjectTransport:
-    """Sends store calls to one address over keep-alive connections."""
+    """Sends store calls to one address over keep-alive connections.
 
-    __slots__ = ("_client", "_address")
+    ``era`` is the highest that an answer had: the store raises it each time that it
+    has gone back to an older copy.
+    """
+
+    __slots__ = ("era", "_client", "_address")
 
     def __init__(self, client, address):
+        self.era = 0
         self._client = client
         self._address = address
 
@@ -61,6 +69,7 @@
                 timeout_s=timeout_s,
                 transfer=TRANSFER,
             )
+            self.era = max(self.era, _era(response.headers))
             if response.status in NOT_CARRIED_OUT_STATUSES:
                 raise StoreUnavailable(f"the store answered {response.status}")
             return _decode(call, response.status, response.json())
@@ -70,6 +79,11 @@
             raise StoreAnswerLost(str(error))
 
 
+def _era(headers):
+    text = headers.get(ERA, "0")
+    return int(text) if text.isdecimal() and len(text) <= MAX_ERA_DIGITS else 0
+
+
 def _encode(call):
     match call:
         case Get(collection, name, stale):
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -344,6 +344,13 @@
             )
             subscription.unavailable_since = None
         if update.revision < subscription.changes.revision:
+            log.warning(
+                "older update ignored",
+                collection=subscription.collection,
+                rev=update.revision,
+                known=subscription.changes.revision,
+                whole=update.is_snapshot,
+            )
             return
         if update.is_snapshot or update.changes:
             subscription.changes.apply(update)
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -65,7 +65,8 @@
 
     ``calls_by_kind`` counts every attempt of a call, watches included, by the name
     of its class. ``last_answer_at`` is the time of the last successful call.
-    ``outage_ended_at`` is the time of the first one after the last outage.
+    ``outage_ended_at`` is the time of the first one after the last outage. ``era`` is
+    that of the store's answers, which rises when the store has gone back to a copy.
     """
 
     name = "store"
@@ -80,6 +81,7 @@
         "_vm_list",
         "_failing_since",
         "outage_ended_at",
+        "era",
     )
 
     def __init__(self, transport, *, timeout_s=CALL_TIMEOUT_S):
@@ -97,6 +99,7 @@
         self._vm_list = VmList("", ())
         self._failing_since = None
         self.outage_ended_at = -math.inf
+        self.era = None
 
     async def start(self, kernel):
         """Use the clock and the random numbers of ``kernel``."""
@@ -213,7 +216,10 @@
         kind = type(call).__name__
         self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
         try:
-            answer = await self._transport.call(call, timeout_s=self._timeout_s)
+            try:
+                answer = await self._transport.call(call, timeout_s=self._timeout_s)
+            finally:
+                self._record_era(self._transport.era)
         except (StoreAnswerLost, StoreUnavailable):
             self._breaker.record_failure()
             if self._failing_since is None:
@@ -223,6 +229,11 @@
         self._record_answer(self._kernel.clock.time())
         return answer
 
+    def _record_era(self, era):
+        if era != self.era:
+            log.notice("store era", era=era, before=self.era)
+            self.era = era
+
     def _record_answer(self, now):
         self.last_answer_at = now
         if self._failing_since is None:
--- a/pimentogap/store/http.py
+++ b/pimentogap/store/http.py
@@ -33,11 +33,15 @@
 
 
 class HttpTransport:
-    """Sends store calls to one address over persistent connections."""
+    """Sends store calls to one address over persistent connections.
 
-    __slots__ = ("_client", "_address")
+    ``era`` is constant: this store never goes back to an older copy.
+    """
+
+    __slots__ = ("era", "_client", "_address")
 
     def __init__(self, client, address):
+        self.era = 0
         self._client = client
         self._address = address
 
