--- a/pimentogap/permits/_service.py
+++ b/pimentogap/permits/_service.py
@@ -208,8 +208,12 @@
         if named is None:
             log.warning("limit not readable", backend=backend.id, limit=limit.text)
             return
-        self._apply(backend.id, named)
-        self._bulletin.report(backend.id, named)
+        self.report_limit(backend, named)
+
+    def report_limit(self, backend, limit):
+        """Put a `BackendLimit` in force here, and tell the leader of it."""
+        self._apply(backend.id, limit)
+        self._bulletin.report(backend.id, limit)
 
     def _apply(self, backend_id, limit):
         if self._known.put(backend_id, limit):
--- a/pimentogap/quarantine/_judge.py
+++ b/pimentogap/quarantine/_judge.py
@@ -83,7 +83,7 @@
                 log.notice("prompt part released", part=report.key)
         for key in table.record_strikes(strikes, now):
             log.warning("prompt part quarantined", part=key, term=self._lease.term)
-        self._publish(table.quarantined())
+        self.publish(table.quarantined())
 
     async def write_lists(self):
         """Write each new list to the store, as long as this daemon leads."""
@@ -108,7 +108,8 @@
             )
         return self._table
 
-    def _publish(self, quarantined):
+    def publish(self, quarantined):
+        """Apply a `QuarantineList` if it is newer, and have it written."""
         if quarantined.serial and quarantined.order > self._quarantine.current.order:
             self._quarantine.apply_list(quarantined)
             self._unwritten.set()
--- a/pimentogap/quarantine/_service.py
+++ b/pimentogap/quarantine/_service.py
@@ -214,6 +214,10 @@
             return
         self.apply_list(newer)
 
+    def publish(self, newer):
+        """Apply the `QuarantineList` ``newer`` and write it, as the leader."""
+        self._judge.publish(newer)
+
     def apply_list(self, newer):
         """Block the parts of the `QuarantineList` ``newer``, if it is newer."""
         if newer.order <= self.current.order:
