Order revisions of the store by its era, and read anew when it rises

What callers saw: 401 and 404 for routes that the newest version has, and requests handled by an older one, from the return of the store until its revision had passed the one known before. Cause: the store came back from a copy and gave revisions out again; every list was older than what the daemon knew, and older updates are ignored so that a relay or a stale read cannot bring anything back. Class: a counter that goes back taken for one that only grows. Change: a Revision has the era of the answer that it came with and is newer than any of an earlier era. A watch of an earlier era's revision is read anew, since the store may have that number after other changes; so is a list whose pages have two eras. The call between daemons has another name, so that daemons of before, whose revisions have no era, are not asked. Now shown, and listed: servers that are known to leave get requests again, as the copy has them.

--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -19,6 +19,7 @@
     List,
     Page,
     Put,
+    Revision,
     Stored,
     Watch,
     Written,
@@ -61,6 +62,7 @@
         :raises WatchCompacted: if the history after the watched revision is gone.
         """
         if isinstance(call, Watch):
+            self._check_era(call)
             timeout_s = call.wait_s + WATCH_GRACE_S
         try:
             response = await self._client.fetch(
@@ -69,15 +71,26 @@
                 timeout_s=timeout_s,
                 transfer=TRANSFER,
             )
-            self.era = max(self.era, _era(response.headers))
+            era = _era(response.headers)
+            self.era = max(self.era, era)
             if response.status in NOT_CARRIED_OUT_STATUSES:
                 raise StoreUnavailable(f"the store answered {response.status}")
-            return _decode(call, response.status, response.json())
+            if isinstance(call, Watch):
+                self._check_era(call)
+            return _decode(call, response.status, response.json(), era)
         except ConnectionFailed as error:
             raise StoreUnavailable(str(error))
         except ResponseLost as error:
             raise StoreAnswerLost(str(error))
 
+    def _check_era(self, call):
+        """Raise `WatchCompacted` if the watched revision is of an earlier era.
+
+        The store may have a revision of that number, after other changes.
+        """
+        if Revision(call.revision).era < self.era:
+            raise WatchCompacted("the store has gone back to an older copy")
+
 
 def _era(headers):
     text = headers.get(ERA, "0")
@@ -92,52 +105,56 @@
             return _write("POST", _path(collection), _document(name, value))
         case Put(collection, name, value, version):
             document = _document(name, value)
-            document["metadata"]["revision"] = version
+            document["metadata"]["revision"] = Revision(version).number
             return _write("PUT", _path(collection, name), document)
         case Delete(collection, name, version):
-            return HttpRequest("DELETE", _path(collection, name, revision=version))
+            path = _path(collection, name, revision=Revision(version).number)
+            return HttpRequest("DELETE", path)
         case List(collection, after, _, stale):
             path = _path(collection, afterRev=after, allowStale=stale)
             return HttpRequest("GET", path)
         case Watch(collection, revision, wait_s):
             wait_ms = int(wait_s * MS_PER_S)
-            return HttpRequest("GET", _path(collection, watch=revision, waitMs=wait_ms))
+            number = Revision(revision).number
+            return HttpRequest("GET", _path(collection, watch=number, waitMs=wait_ms))
         case _:
             raise StoreError(f"the object API has no call for {call}")
 
 
-def _decode(call, status, data):
+def _decode(call, status, data, era):
     match call, status:
         case Get(), 200:
-            return _stored(data)
+            return _stored(data, era)
         case ((Get() | Delete()), 404):
             return Conflict(None) if isinstance(call, Delete) else None
         case Put(), 404:
             return Conflict(None)
         case Put(), 200 | 201:
-            return Written(data["metadata"]["revision"])
+            return Written(Revision.of(era, data["metadata"]["revision"]))
         case Delete(), 200 | 204:
             return Written(0)
         case ((Put() | Delete()), 409):
-            return Conflict(_stored(data) if "metadata" in data else None)
+            return Conflict(_stored(data, era) if "metadata" in data else None)
         case List(), 200:
-            items = tuple(_stored(item) for item in data["items"])
-            return Page(items, data["currentRev"], truncated=bool(data["truncated"]))
+            items = tuple(_stored(item, era) for item in data["items"])
+            revision = Revision.of(era, data["currentRev"])
+            return Page(items, revision, truncated=bool(data["truncated"]))
         case Watch(), 200:
-            changes = tuple(_change(event) for event in data["events"])
-            return Page(changes, data["currentRev"])
+            changes = tuple(_change(event, era) for event in data["events"])
+            return Page(changes, Revision.of(era, data["currentRev"]))
         case Watch(), 410:
             raise WatchCompacted("the history that the watch needs is gone")
     raise StoreError(f"the store answered {status} to {call}")
 
 
-def _stored(data):
+def _stored(data, era):
     metadata = data["metadata"]
-    return Stored(metadata["name"], metadata["revision"], data.get("specification"))
+    version = Revision.of(era, metadata["revision"])
+    return Stored(metadata["name"], version, data.get("specification"))
 
 
-def _change(event):
-    return Change(_stored(event["object"]), bool(event["removed"]))
+def _change(event, era):
+    return Change(_stored(event["object"], era), bool(event["removed"]))
 
 
 def _document(name, value):
--- a/pimentogap/relay/_changes.py
+++ b/pimentogap/relay/_changes.py
@@ -3,7 +3,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from pimentogap.store import Change, Stored
+from pimentogap.store import Change, Revision, Stored
 
 MAX_CHANGES = 1000
 # JSON has no infinity; an hour is far beyond any grace period after an outage.
@@ -33,7 +33,7 @@
     __slots__ = ("revision", "_stored_by_name", "_changes", "_complete_since")
 
     def __init__(self):
-        self.revision = 0
+        self.revision = Revision(0)
         self._stored_by_name = {}
         self._changes = deque(maxlen=MAX_CHANGES)
         self._complete_since = 0
@@ -99,8 +99,12 @@
     """
     return CollectionUpdate(
         bool(data["whole"]),
-        tuple(Change(Stored(n, v, value), r) for n, v, value, r in data["changes"]),
-        tuple(Stored(n, v, value) for n, v, value in data["objects"]),
-        int(data["revision"]),
+        tuple(Change(_stored(n, v, value), r) for n, v, value, r in data["changes"]),
+        tuple(_stored(n, v, value) for n, v, value in data["objects"]),
+        Revision(data["revision"]),
         float(data["regained_s"]),
     )
+
+
+def _stored(name, version, value):
+    return Stored(name, Revision(version), value)
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -17,7 +17,8 @@
 
 log = Logger("relay")
 
-CHANGES_CALL = "changes"
+# The call had another name as long as revisions had no era.
+CHANGES_CALL = "collection_changes"
 # Pause between two reads, so that changes close together cost a single call.
 BATCH_INTERVAL_S = 0.3
 LEADER_BATCH_INTERVAL_S = 0.15
--- a/pimentogap/store/__init__.py
+++ b/pimentogap/store/__init__.py
@@ -18,6 +18,7 @@
 )
 from pimentogap.store._client import StoreClient
 from pimentogap.store._follow import follow_collection
+from pimentogap.store._revisions import Revision
 from pimentogap.store._snapshots import Snapshot, SnapshotCollection, object_name
 
 __all__ = [
@@ -30,6 +31,7 @@
     "NotWritten",
     "Page",
     "Put",
+    "Revision",
     "Snapshot",
     "SnapshotCollection",
     "StoreClient",
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -18,6 +18,7 @@
     Watch,
     Written,
 )
+from pimentogap.store._revisions import Revision
 
 log = Logger("store")
 
@@ -99,7 +100,7 @@
         self._vm_list = VmList("", ())
         self._failing_since = None
         self.outage_ended_at = -math.inf
-        self.era = None
+        self.era = 0
 
     async def start(self, kernel):
         """Use the clock and the random numbers of ``kernel``."""
@@ -127,6 +128,13 @@
         :raises StoreUnavailable: if no attempt within `READ_RETRY_LIMIT_S` seconds
             was answered.
         """
+        while True:
+            items, revision = await self._list_pages(collection, after, limit, stale)
+            # Pages of different eras do not belong together.
+            if Revision(revision).era >= self.era:
+                return items, revision
+
+    async def _list_pages(self, collection, after, limit, stale):
         items = []
         revision = None
         while True:
@@ -230,8 +238,11 @@
         return answer
 
     def _record_era(self, era):
-        if era != self.era:
+        if era > self.era:
             log.notice("store era", era=era, before=self.era)
+            if self.era:
+                # Entries that were written since the copy are not back yet.
+                self.outage_ended_at = self._kernel.clock.time()
             self.era = era
 
     def _record_answer(self, now):
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -77,6 +77,7 @@
         "calls",
         "_history",
         "_writes",
+        "_copy_revision",
         "_loop",
         "_compacted_before",
         "_changed",
@@ -92,6 +93,7 @@
         self.calls = 0
         self._history = deque(maxlen=HISTORY_EVENTS)
         self._writes = []
+        self._copy_revision = 0
         # That of the first call; objects are written before any loop runs, too.
         self._loop = None
         self._compacted_before = 0
@@ -141,7 +143,7 @@
                 objects.pop(write.name, None)
             else:
                 objects[write.name] = write.item
-        self.revision = kept[-1].revision if kept else 1
+        self.revision = self._copy_revision = kept[-1].revision if kept else 1
         kept_events = [event for event in self._history if event[0] <= self.revision]
         self._history = deque(kept_events, maxlen=HISTORY_EVENTS)
         self.era += 1
@@ -149,13 +151,23 @@
         return lost
 
     def write_again(self, lost):
-        """Write again what the operator and the replicas wrote of ``lost``."""
+        """Write again what the operator and the replicas wrote of ``lost``.
+
+        What they have written since the store came back stays.
+        """
         newest_by_key = {
             (write.kind, write.name): write.item
             for write in lost
             if write.kind in REWRITTEN_KINDS
         }
+        written_since = {
+            (write.kind, write.name)
+            for write in self._writes
+            if write.revision > self._copy_revision
+        }
         for (kind, name), item in newest_by_key.items():
+            if (kind, name) in written_since:
+                continue
             if item is None:
                 self.remove(kind, name)
             else:
