Give out no term twice when the store goes back, and let the leader stay

Cause: the next term was the store's plus one, and the store's lease was an older one. Class: a number that must never be given out twice, derived from a store that can forget. Evidence: emulator, leader killed, store back from a copy from before that: terms 2 and 2. No daemon led 2 s after the store's return, since the leader took the older lease for another's. Change: terms begin at a million times the store's era, above all before; the leader whose renewal finds an older lease acquires it anew by the same conditional write, and a daemon that finds itself in a copy waits as for another holder. A term that was chosen before the store went back is not held.

--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -4,7 +4,7 @@
 
 from pimentogap.errors import StoreError
 from pimentogap.kernel import RestartOnError
-from pimentogap.store import Conflict, Put, Written
+from pimentogap.store import Conflict, Put, Revision, Written
 
 log = Logger("formation.lease")
 
@@ -18,22 +18,32 @@
 # acquire it.
 EXPIRY_MARGIN_S = 0.6
 WRITE_RETRY_LIMIT_S = 1.0
+# Terms of an era of the store are above all of the eras before.
+TERMS_PER_ERA = 1_000_000
 
 
 class SeenLease:
     """The lease object as it was when this daemon last saw it change.
 
-    ``seen_at`` is in seconds of the runtime's clock.
+    ``seen_at`` is in seconds of the runtime's clock. ``is_copy`` says that the store has
+    gone back to it, so that another daemon may hold a later one.
     """
 
-    __slots__ = ("holder", "term", "address", "version", "seen_at")
+    __slots__ = ("holder", "term", "address", "version", "seen_at", "is_copy")
 
-    def __init__(self, value, version, seen_at):
+    def __init__(self, value, version, seen_at, *, is_copy=False):
         self.holder = value.get("holder", "")
         self.term = value.get("term", 0)
         self.address = value.get("address", "")
         self.version = version
         self.seen_at = seen_at
+        self.is_copy = is_copy
+
+    def is_free(self, daemon_id, now):
+        """Return whether ``daemon_id`` may acquire the lease at ``now``."""
+        if now - self.seen_at >= LEASE_DURATION_S:
+            return True
+        return self.holder in ("", daemon_id) and not self.is_copy
 
 
 class LeaseService:
@@ -44,11 +54,25 @@
     daemons wait for a full lease duration after they saw the last renewal, and the
     holder counts the duration from before it sent the renewal, on a clock that
     goes on while the VM is suspended.
+
+    A store that came back from an older copy may show an older lease, of another holder
+    or with a lower term. Terms of a new era are above all before, so that none is given
+    out twice; whoever held the lease when the store went back takes it again at once,
+    unless another daemon was faster.
     """
 
     name = "lease"
     requires = ("store", "daemons")
-    __slots__ = ("_id", "_address", "_kernel", "_store", "_seen", "_held_until", "term")
+    __slots__ = (
+        "_id",
+        "_address",
+        "_kernel",
+        "_store",
+        "_seen",
+        "_held_until",
+        "term",
+        "is_first",
+    )
 
     def __init__(self, daemon_id, address):
         """Create the candidate of this daemon.
@@ -62,6 +86,7 @@
         self._seen = None
         self._held_until = 0.0
         self.term = 0
+        self.is_first = False
 
     async def start(self, kernel):
         """Start the task that acquires and renews the lease."""
@@ -121,18 +146,45 @@
             return
         seen = self._seen
         if seen is None or seen.version < stored.version:
-            seen = self._seen = SeenLease(stored.value or {}, stored.version, now)
-        if seen.holder in ("", self._id) or now - seen.seen_at >= LEASE_DURATION_S:
+            is_copy = (
+                seen is not None and Revision(seen.version).era < stored.version.era
+            )
+            seen = self._seen = SeenLease(
+                stored.value or {}, stored.version, now, is_copy=is_copy
+            )
+        if seen.is_free(self._id, now):
             await self._acquire(seen.version, seen.term)
 
     async def _acquire(self, version, term):
-        if await self._write(version, term + 1):
-            self.term = term + 1
+        """Write the lease with the first term that nobody can have had.
+
+        :param term: the term in the store.
+        """
+        newer_term = max(term, self.term, self._store.era * TERMS_PER_ERA) + 1
+        if await self._write(version, newer_term):
+            self.term = newer_term
+            self.is_first = not version
             log.notice("lease acquired", term=self.term, rev=self._seen.version)
 
     async def _renew(self):
-        if not await self._write(self._seen.version, self.term):
-            log.warning("lease not renewed", term=self.term)
+        known = self._seen
+        if await self._write(known.version, self.term):
+            return
+        log.warning("lease not renewed", term=self.term)
+        if self._is_copy_of_earlier(known):
+            await self._acquire(self._seen.version, self._seen.term)
+
+    def _is_copy_of_earlier(self, known):
+        """Return whether the lease in the store is older than ``known``, a `SeenLease`.
+
+        A daemon that acquired it since the store went back has a higher term.
+        """
+        if self._store.era <= Revision(known.version).era:
+            return False
+        if self._seen is None:
+            # The copy is from before the first lease.
+            self._seen = SeenLease({}, Revision(0), known.seen_at)
+        return self._seen.term <= known.term
 
     async def _write(self, version, term):
         sent_at = self._kernel.clock.boot_time()
@@ -148,6 +200,10 @@
             case Written(revision):
                 now = self._kernel.clock.time()
                 self._seen = SeenLease(value, revision, now)
+                if term <= Revision(revision).era * TERMS_PER_ERA:
+                    # The store went back since the term was chosen.
+                    self._held_until = 0.0
+                    return False
                 self._held_until = sent_at + LEASE_DURATION_S - EXPIRY_MARGIN_S
                 return True
             case Conflict(current):
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -162,7 +162,7 @@
         now = self._kernel.clock.time()
         if not self._directory.loaded or self._configuration.current is None:
             return False
-        if self._settings.first_start and self._term == 1:
+        if self._settings.first_start and self._lease.is_first:
             size = len(self._directory.backends_by_id)
             if size != self._list_size:
                 self._list_size, self._list_size_since = size, now
