Believe a server that left rather than a copy of the list that still has it

Cause: the copy shows entries as they were, with nothing to tell it from news. Class: a copy of before believed over what was known since. Change: an entry that contradicts what was known holds back, until it is written again or for 2.5 s; a server known to be gone stays so for 10 s, by when an entry that nobody writes has expired. A higher start, a higher epoch or 'draining' is certainly later and is believed at once; a server that drains does so until it starts again. What is decided stands in a module of its own without a network.

--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -5,7 +5,9 @@
 
 from logbook import Logger
 
+from pimentogap.directory._copies import CopyGuard, later_view
 from pimentogap.directory._groups import build_group_views
+from pimentogap.store import Revision
 from pimentogap.types import BackendState, MemberState
 
 log = Logger("directory")
@@ -17,6 +19,10 @@
 # long after its entry expired, unless the leader finds out that it is lost.
 ABSENCE_LIMIT_S = 12.0
 MEMBER_STATES = (MemberState.JOINING, MemberState.READY, MemberState.OPEN)
+# A backend server that is known to be gone is not believed to be back for this long
+# because a copy of the list has it, unless it writes its entry again. By then the entry
+# has expired if nobody writes it.
+GHOST_LIMIT_S = 10.0
 # A larger share of the entries disappears at once only because of a store outage,
 # even if no call of this daemon failed; a lost fabric domain is a smaller share.
 MASS_REMOVAL_SHARE = 0.34
@@ -34,6 +40,10 @@
     `ABSENCE_LIMIT_S` without an entry, listed in ``absent_by_id``: its head serves
     until the leader has probed the member and closed the group. An absent head
     gets no requests.
+
+    A store that went back lists entries as they were before. What this daemon knew is
+    newer: it holds until the entry is written again, or for `REREGISTRATION_GRACE_S`,
+    and a server that is gone stays gone for `GHOST_LIMIT_S`.
     """
 
     name = "directory"
@@ -53,6 +63,7 @@
         "_plain_backends_by_service",
         "_indexed_configuration",
         "_deferred_removal_ids",
+        "_copies",
     )
 
     def __init__(self, collection, decode):
@@ -76,6 +87,7 @@
         self._plain_backends_by_service = {}
         self._indexed_configuration = None
         self._deferred_removal_ids = set()
+        self._copies = CopyGuard()
 
     async def start(self, kernel):
         """Follow the collection through the relay service."""
@@ -98,24 +110,59 @@
 
     def _apply(self, update):
         before = self.backends_by_id
+        went_back = self.loaded and (
+            Revision(self.revision).era < Revision(update.revision).era
+        )
         after = {} if update.is_snapshot else dict(before)
         for stored in update.objects:
             self._merge_entry(after, before, stored)
         for change in update.changes:
             if change.removed:
                 after.pop(change.stored.name, None)
+                self._copies.forget_copy(change.stored.name)
             else:
                 self._merge_entry(after, before, change.stored)
+        if went_back:
+            self._defer_copies(before, after)
         missing = before.keys() - after.keys()
-        if update.since_outage_s < REREGISTRATION_GRACE_S or (
-            len(missing) > len(before) * MASS_REMOVAL_SHARE
+        if (
+            went_back
+            or update.since_outage_s < REREGISTRATION_GRACE_S
+            or (len(missing) > len(before) * MASS_REMOVAL_SHARE)
         ):
             self._defer_removals(missing, after, before)
-        self._log_changes(before, after, update.revision)
-        self._update_absences(before, after, update.revision)
-        self.backends_by_id = after
         self.revision = update.revision
         self.loaded = True
+        self._replace(before, after, update.revision)
+
+    def _defer_copies(self, before, after):
+        """Keep what was known of the entries that a store that went back shows."""
+        copies_by_id = self._copies.defer(before, after, self._kernel.clock.time())
+        if copies_by_id:
+            log.info("copies of backends deferred", count=len(copies_by_id))
+            self._kernel.spawn(self.name, self._adopt_copies, copies_by_id)
+
+    async def _adopt_copies(self, copies_by_id):
+        """Believe the copies that have not been written again meanwhile."""
+        await self._kernel.clock.sleep(REREGISTRATION_GRACE_S)
+        known_ids = copies_by_id.keys() & self.backends_by_id.keys()
+        self._adopt({id_: copies_by_id[id_] for id_ in known_ids})
+        await self._kernel.clock.sleep(GHOST_LIMIT_S - REREGISTRATION_GRACE_S)
+        self._adopt(copies_by_id)
+
+    def _adopt(self, copies_by_id):
+        before = self.backends_by_id
+        after = dict(before)
+        for id_, copy in self._copies.take(copies_by_id).items():
+            after[id_] = later_view(before.get(id_), copy)
+        if after != before:
+            self._replace(before, after, self.revision)
+
+    def _replace(self, before, after, revision):
+        self._copies.record_gone(before, after, self._kernel.clock.time())
+        self._log_changes(before, after, revision)
+        self._update_absences(before, after, revision)
+        self.backends_by_id = after
         self.invalidate()
 
     def _update_absences(self, before, after, revision):
@@ -163,10 +210,7 @@
             if id_ not in self._deferred_removal_ids
         }
         self._deferred_removal_ids.clear()
-        self._log_changes(before, after, self.revision)
-        self._update_absences(before, after, self.revision)
-        self.backends_by_id = after
-        self.invalidate()
+        self._replace(before, after, self.revision)
 
     def invalidate(self):
         """Rebuild the groups, discard the index and wake waiting tasks."""
@@ -185,10 +229,8 @@
                 after[stored.name] = before[stored.name]
             return
         self._deferred_removal_ids.discard(stored.name)
-        known = before.get(stored.name)
-        if known is not None and backend.incarnation < known.incarnation:
-            backend = known
-        after[stored.name] = backend
+        self._copies.forget_copy(stored.name)
+        after[stored.name] = later_view(before.get(stored.name), backend)
 
     def _log_changes(self, before, after, revision):
         """Log what changed: in one line, or, at the leader, one for each change.
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -25,8 +25,8 @@
 class SeenLease:
     """The lease object as it was when this daemon last saw it change.
 
-    ``seen_at`` is in seconds of the runtime's clock. ``is_copy`` says that the store has
-    gone back to it, so that another daemon may hold a later one.
+    ``seen_at`` is in seconds of the runtime's clock. ``is_copy`` says that the
+    store has gone back to it, so that another daemon may hold a later one.
     """
 
     __slots__ = ("holder", "term", "address", "version", "seen_at", "is_copy")
