Refuse a conditional write whose revision is of an earlier era of the store

Cause: a store that went back gives revisions out again; a write on condition of one of them replaces another object. Class: a counter that goes back taken for one that only grows. Evidence: emulator, the write replaced the object of another and was told as written. Change: such a write is not sent once the era is known; the object as it is now is told as the conflict. A write that was sent before the daemon had heard of the era may still replace, since the platform's calls cannot name an era; it counts as refused, so that its sender reads again: a lease written like that is not held. The scenario is split in two for that reason: nothing can keep the daemon from sending it, and what is checked instead is that it is not believed. Both fail without the change.

--- a/features/platform/eras.feature
+++ b/features/platform/eras.feature
@@ -103,4 +103,11 @@
   # out again.
   Scenario: A write that depends on a revision of before does not replace what came since
     When an object is written whose revision is given out again by another after the store went back
+    And the daemon has heard of the new era
     Then a write that depends on the first is refused, and tells the second
+
+  # A daemon cannot know of the new era before the store has answered it. Guards against:
+  # such a write is taken for one whose condition held.
+  Scenario: A write that was sent before the daemon heard of the new era counts as refused
+    When an object is written whose revision is given out again by another after the store went back
+    Then a write that depends on the first is told to be refused, with what is there now
--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -226,15 +226,15 @@
         fleet.store.go_back(0.5)
         fleet.store.revision = _number(first.version) - 1
         fleet.store.put("own", "it", {"by": "second"})
-        for call in (
-            Put("own", "it", {"by": "third"}, first.version),
-            Delete("own", "it", first.version),
-        ):
-            yield_outcome = await store.write(call, retry_for_s=1.0)
-            context.outcomes.append(yield_outcome)
+        return first.version
 
-    context.outcomes = []
-    context.simulation.run(write_twice())
+    context.first_version = context.simulation.run(write_twice())
+
+
+@when("the daemon has heard of the new era")
+def when_era_heard(context):
+    store = context.simulation.fleet.kernels_by_name["front-0"].get("store")
+    context.simulation.run(store.get("own", "it"))
 
 
 def _number(version):
@@ -243,11 +243,28 @@
 
 @then("a write that depends on the first is refused, and tells the second")
 def then_refused(context):
-    for outcome in context.outcomes:
-        match outcome:
-            case Conflict(current) if current is not None:
-                assert current.value == {"by": "second"}, current
-            case _:
-                raise AssertionError(outcome)
+    for call in (
+        Put("own", "it", {"by": "third"}, context.first_version),
+        Delete("own", "it", context.first_version),
+    ):
+        assert _conflicting(context, call) == {"by": "second"}
     objects = context.simulation.fleet.store.objects_by_kind["own"]
     assert objects["it"]["specification"] == {"by": "second"}, objects
+
+
+@then("a write that depends on the first is told to be refused, with what is there now")
+def then_told_refused(context):
+    call = Put("own", "it", {"by": "third"}, context.first_version)
+    told = _conflicting(context, call)
+    objects = context.simulation.fleet.store.objects_by_kind["own"]
+    assert told == objects["it"]["specification"], (told, objects)
+
+
+def _conflicting(context, call):
+    """Return the value that a refused write tells."""
+    store = context.simulation.fleet.kernels_by_name["front-0"].get("store")
+    match context.simulation.run(store.write(call, retry_for_s=1.0)):
+        case Conflict(current) if current is not None:
+            return current.value
+        case outcome:
+            raise AssertionError(outcome)
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -64,6 +64,11 @@
         if isinstance(call, Watch):
             self._check_era(call)
             timeout_s = call.wait_s + WATCH_GRACE_S
+        if self._is_outdated(call):
+            current = await self.call(
+                Get(call.collection, call.name), timeout_s=timeout_s
+            )
+            return Conflict(current)
         try:
             response = await self._client.fetch(
                 self._address,
@@ -77,11 +82,22 @@
                 raise StoreUnavailable(f"the store answered {response.status}")
             if isinstance(call, Watch):
                 self._check_era(call)
-            return _decode(call, response.status, response.json(), era)
+            answer = _decode(call, response.status, response.json(), era)
         except ConnectionFailed as error:
             raise StoreUnavailable(str(error))
         except ResponseLost as error:
             raise StoreAnswerLost(str(error))
+        if isinstance(answer, Written) and self._is_outdated(call):
+            # It replaced another object that had got the same revision.
+            return _conflict_with_own(call, answer)
+        return answer
+
+    def _is_outdated(self, call):
+        """Return whether a write depends on a revision of an earlier era."""
+        match call:
+            case Put(version=version) | Delete(version=version):
+                return version > 0 and Revision(version).era < self.era
+        return False
 
     def _check_era(self, call):
         """Raise `WatchCompacted` if the watched revision is of an earlier era.
@@ -92,6 +108,14 @@
             raise WatchCompacted("the store has gone back to an older copy")
 
 
+def _conflict_with_own(call, written):
+    match call:
+        case Put(_, name, value):
+            return Conflict(Stored(name, written.version, value))
+        case _:
+            return Conflict(None)
+
+
 def _era(headers):
     text = headers.get(ERA, "0")
     return int(text) if text.isdecimal() and len(text) <= MAX_ERA_DIGITS else 0
