Leave out an odd entry alone, and follow the rest of the list

Reported by other operators: one odd entry among those of the replicas ends the readers, or they stop following the list. It can happen here. Cause: the list was decoded as one document. An entry nested 100,000 deep raised RecursionError, which ended the task that follows the list each time that it was restarted; a number of 10,000 digits or bytes that are no text made the whole list unreadable; an entry with no slots divided by zero in every request's placement; a port that is a superscript digit raised ValueError. Class: one input's fault handled at the level of all. Change: members of lists and of watches that cannot be read, or are nested deeper than 64, are left out with one log line; ports, slots, numbers and names of entries are checked against their ranges; an address that cannot be connected to counts as a failed connection. Other documents in the store that the system itself writes were not fuzzed.

--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -30,6 +30,7 @@
 
 # Ids in the log line of a change that the leader logs in full.
 MAX_LOGGED_IDS = 5
+MAX_LOGGED_CHARS = 100
 
 
 class DirectoryService:
@@ -224,7 +225,11 @@
     def _merge_entry(self, after, before, stored):
         backend = self._decode(stored.name, stored.value)
         if backend is None:
-            log.warning("entry ignored", backend=stored.name, rev=stored.version)
+            log.warning(
+                "entry ignored",
+                backend=stored.name[:MAX_LOGGED_CHARS],
+                rev=stored.version,
+            )
             if stored.name in before:
                 after[stored.name] = before[stored.name]
             return
--- a/pimentogap/platform/_backends.py
+++ b/pimentogap/platform/_backends.py
@@ -9,6 +9,13 @@
 MEMBER_STATES_BY_NAME = {state.value: state for state in MemberState}
 
 
+MAX_PORT = 65535
+MAX_SLOTS = 100_000
+MAX_NAME_CHARS = 1000
+# Epochs and starts are counted in 63 bits by the platform.
+MAX_INT = 2**63 - 1
+
+
 def decode_backend(name, data):
     """Return the `Backend` that an entry of the list describes.
 
@@ -17,7 +24,7 @@
     :return: ``None`` if the entry describes no usable backend server; the list may
         contain entries that other parts of the platform wrote.
     """
-    if not isinstance(data, dict):
+    if not isinstance(data, dict) or len(name) > MAX_NAME_CHARS:
         return None
     address, service = data.get("addr"), data.get("service")
     state = BACKEND_STATES_BY_NAME.get(_str_or_none(data.get("state")))
@@ -32,7 +39,7 @@
         address=address,
         availability_zone=data["zone"],
         state=state,
-        slots=_int_or_default(data.get("slots"), 1),
+        slots=_slots(data.get("slots")),
         incarnation=_int_or_default(data.get("born"), 0),
         domain=data.get("domain") if isinstance(data.get("domain"), str) else "",
         models=_names(data.get("models")),
@@ -69,11 +76,21 @@
 
 
 def _is_address(value):
-    return isinstance(value, str) and value.rpartition(":")[2].isdigit()
+    if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
+        return False
+    host, _, port = value.rpartition(":")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    return bool(host) and is_number and 0 < int(port) <= MAX_PORT
+
+
+def _slots(value):
+    """Return a number of slots, 1 if ``value`` is none."""
+    slots = _int_or_default(value, 1)
+    return slots if 0 < slots <= MAX_SLOTS else 1
 
 
 def _int_or_default(value, default):
-    if isinstance(value, bool) or not isinstance(value, int):
+    if isinstance(value, bool) or not isinstance(value, int) or abs(value) > MAX_INT:
         return default
     return value
 
--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -30,7 +30,7 @@
         return _decode(data)
     except KeyError as error:
         raise InvalidDocument([Problem(str(error.args[0]), None, "missing", "a value")])
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise InvalidDocument([Problem("", None, str(error), "a configuration")])
 
 
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -3,6 +3,8 @@
 import json
 from urllib.parse import quote, urlencode
 
+from logbook import Logger
+
 from pimentogap.errors import (
     ConnectionFailed,
     ResponseLost,
@@ -11,6 +13,7 @@
     StoreUnavailable,
     WatchCompacted,
 )
+from pimentogap.platform._lenient import load_members, load_object
 from pimentogap.store import (
     Change,
     Conflict,
@@ -26,6 +29,8 @@
 )
 from pimentogap.types import HttpRequest, TransferLimits
 
+log = Logger("platform.objects")
+
 NOT_CARRIED_OUT_STATUSES = (429, 503)
 WATCH_GRACE_S = 0.6
 # A list, or the changes after an outage, may be a megabyte, which takes seconds on a
@@ -82,7 +87,7 @@
                 raise StoreUnavailable(f"the store answered {response.status}")
             if isinstance(call, Watch):
                 self._check_era(call)
-            answer = _decode(call, response.status, response.json(), era)
+            answer = _decode(call, response.status, _load(call, response), era)
         except ConnectionFailed as error:
             raise StoreUnavailable(str(error))
         except ResponseLost as error:
@@ -108,6 +113,24 @@
             raise WatchCompacted("the store has gone back to an older copy")
 
 
+def _load(call, response):
+    match call, response.status:
+        case List(), 200:
+            return _load_members(call, response.body, "items")
+        case Watch(), 200:
+            return _load_members(call, response.body, "events")
+    return load_object(response.body)
+
+
+def _load_members(call, body, key):
+    data, left_out = load_members(body, key)
+    if left_out:
+        log.warning(
+            "unreadable objects left out", collection=call.collection, count=left_out
+        )
+    return data
+
+
 def _conflict_with_own(call, written):
     match call:
         case Put(_, name, value):
--- a/pimentogap/types/_http.py
+++ b/pimentogap/types/_http.py
@@ -33,7 +33,7 @@
         """
         try:
             return json.loads(self.body)
-        except ValueError:
+        except (ValueError, RecursionError):
             raise ResponseLost("the body of the response is not JSON")
 
 
--- a/pimentogap/web/_connect.py
+++ b/pimentogap/web/_connect.py
@@ -31,6 +31,9 @@
     stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
     try:
         await stream.connect((host, int(port)))
+    except (OverflowError, ValueError) as error:
+        stream.close()
+        raise OSError(f"{address!r} is no address: {error}")
     except BaseException:
         stream.close()
         raise
--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -2,6 +2,7 @@
 
 from standins.emulator._documents import (
     MODEL_SERVICE,
+    PLAIN_SERVICE,
     configuration_document,
     default_routes,
     settings_document,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "MODEL_SERVICE",
+    "PLAIN_SERVICE",
     "EmulatedFleet",
     "EmulatedNetwork",
     "ModelReplica",
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -78,6 +78,7 @@
         "_history",
         "_writes",
         "_copy_revision",
+        "_raw_by_marker",
         "_loop",
         "_compacted_before",
         "_changed",
@@ -94,6 +95,7 @@
         self._history = deque(maxlen=HISTORY_EVENTS)
         self._writes = []
         self._copy_revision = 0
+        self._raw_by_marker = {}
         # That of the first call; objects are written before any loop runs, too.
         self._loop = None
         self._compacted_before = 0
@@ -109,6 +111,12 @@
             return
         self._write(kind, name, specification)
 
+    def put_raw(self, kind, name, text):
+        """Write an object whose specification is sent as ``text``, whatever that is."""
+        marker = f"raw {len(self._raw_by_marker)}"
+        self._raw_by_marker[marker] = text.encode("utf-8", "surrogateescape")
+        self._write(kind, name, marker)
+
     def remove(self, kind, name):
         """Remove an object, if it exists."""
         removed = self.objects_by_kind.get(kind, {}).pop(name, None)
@@ -320,6 +328,8 @@
 
     async def _answer(self, reply, status, data):
         body = json.dumps(data).encode()
+        for marker, raw in self._raw_by_marker.items():
+            body = body.replace(json.dumps(marker).encode(), raw)
         headers = {
             "Content-Type": "application/json",
             "Content-Length": str(len(body)),
