Give a final answer to requests that a stopping daemon cannot finish

Reported by other operators: in a planned stop in calm, requests were taken late in the grace and cut without an answer at its end. It can happen here to requests of the first 2.8 s whose route lasts beyond the stop: they were cut, bookings too; later ones are refused as not run. Cause: a request's deadline is the caller's and the route's, and the process ended before it. Change: 0.3 s before the stop, a request without an answer gets 502 (it may have run), or 503 if it was never sent; answers that have begun go on to the end. Evidence: a booking and a look-up at a server that takes 12 s, told to stop within 7.3 s: no answer before, 502 now; a booking that comes after 3 s is refused with 503 before and now.

--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -86,3 +86,18 @@
     And 8 seconds pass
     Then every stream is complete, with each event exactly once
     And no stream paused for more than 1.0 seconds
+
+  # Guards against: a request that was taken is cut without an answer when the grace ends.
+  Scenario Outline: A <what> that runs until the daemon stops gets a final answer
+    Given requests of all routes may last 20 seconds
+    And every plain replica takes 12 seconds for a request
+    And front-0 was told <ago> seconds ago to stop within 7.3 seconds
+    When front-0 receives a <what>
+    And 6.9 seconds pass
+    Then the answer is <status>
+
+    Examples:
+      | what    | ago | status |
+      | booking | 0.2 | 502    |
+      | look-up | 0.2 | 502    |
+      | booking | 3.0 | 503    |
--- a/features/steps/platform_request_steps.py
+++ b/features/steps/platform_request_steps.py
@@ -6,6 +6,7 @@
 
 from features.steps.platform_steps import start_request
 from pimentogap.ingress import LATE_REQUEST_DELAY_S
+from standins.emulator import configuration_document, default_routes
 
 
 @when("{count:d} streams of model {model} are requested")
@@ -69,8 +70,30 @@
 
 @when("front-0 receives a {what}")
 def when_request_received(context, what):
-    method, path = {"stream": ("POST", "/draft/x"), "look-up": ("GET", "/look/x")}[what]
-    context.request = start_request(context, method, path)
+    methods_and_paths = {
+        "stream": ("POST", "/draft/x"),
+        "look-up": ("GET", "/look/x"),
+        "booking": ("POST", "/book/x"),
+    }
+    method, path = methods_and_paths[what]
+    context.request = start_request(context, method, path, deadline_s=20.0)
+
+
+@given("requests of all routes may last {seconds:g} seconds")
+def given_long_routes(context, seconds):
+    routes = [
+        {**item, "timeoutMs": seconds * 1000, "targetLatencyMs": seconds * 1000}
+        for item in default_routes()
+    ]
+    document = configuration_document(2, routes=routes)
+    context.simulation.fleet.store.put("config", "main", document)
+    context.simulation.wait(2.0)
+
+
+@given("every plain replica takes {seconds:g} seconds for a request")
+def given_slow_plain(context, seconds):
+    for replica in context.simulation.fleet.plain_replicas_by_id.values():
+        replica.work_s = seconds
 
 
 @then("the answer is {status:d}")
--- a/pimentogap/forwarding/_outcomes.py
+++ b/pimentogap/forwarding/_outcomes.py
@@ -66,3 +66,8 @@
     """The caller disconnected ``after_s`` seconds into the attempt."""
 
     after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """The daemon stops before the answer can have ended."""
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -10,6 +10,7 @@
 from pimentogap.forwarding._outcomes import (
     Delivered,
     Failure,
+    Interrupted,
     Lost,
     NotRun,
     NotSent,
@@ -100,6 +101,9 @@
                     attempts=attempts,
                     retry_after_s=after_s,
                 )
+            case Interrupted():
+                status = 502 if attempts.possible_runs else 503
+                self.refuse(request, admitted, status, "interrupted", attempts=attempts)
             case TimedOut():
                 status = 504 if attempts.possible_runs else 503
                 self.refuse(request, admitted, status, "timed_out", attempts=attempts)
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -12,6 +12,7 @@
     Abandoned,
     Delivered,
     Failure,
+    Interrupted,
     Lost,
     NotRun,
     NotSent,
@@ -52,6 +53,8 @@
 # A prompt part that crashes backend servers does so when it begins to write; one that
 # was written on for this long is sound.
 SURVIVED_S = 0.5
+# Requests that are not answered so long before the daemon's stop get a final answer.
+FINAL_ANSWER_MARGIN_S = 0.3
 TRIAL_CHECK_INTERVAL_S = 0.1
 
 
@@ -81,6 +84,7 @@
         "_budget",
         "_stops_at",
         "_refuse_long_at",
+        "_last_call",
         "in_flight",
         "_has_admitted",
     )
@@ -107,12 +111,14 @@
         )
         self._stops_at = math.inf
         self._refuse_long_at = math.inf
+        self._last_call = None
         self.in_flight = 0
         self._has_admitted = False
 
     async def start(self, kernel):
         """Look up the services that requests need."""
         self._kernel = kernel
+        self._last_call = asyncio.get_running_loop().create_future()
         self._placement = kernel.get("placement")
         self._configuration = kernel.get("serving_configuration")
         self._quarantine = kernel.get("quarantine")
@@ -133,6 +139,14 @@
         """
         self._stops_at = stops_at
         self._refuse_long_at = refuse_long_at
+        self._kernel.spawn(self.name, self._end_requests)
+
+    async def _end_requests(self):
+        """Let the requests that are left be answered shortly before the stop."""
+        clock = self._kernel.clock
+        await clock.sleep(self._stops_at - FINAL_ANSWER_MARGIN_S - clock.time())
+        if not self._last_call.done():
+            self._last_call.set_result(None)
 
     async def serve(self, request):
         """Answer ``request``, a `CallerRequest`."""
@@ -214,6 +228,8 @@
             remaining_s = deadline - self._kernel.clock.time()
             if remaining_s < MIN_ATTEMPT_S:
                 return outcome or TimedOut()
+            if self._last_call.done():
+                return outcome or Interrupted()
             if attempts.outcomes:
                 if not self._has_retry_budget(admitted.service):
                     return outcome
@@ -239,7 +255,7 @@
     def _can_try_another(self, request, route, attempts, outcome):
         """Tell whether another attempt is allowed and could help after ``outcome``."""
         match outcome:
-            case Delivered() | TimedOut() | Withdrawn():
+            case Delivered() | Interrupted() | TimedOut() | Withdrawn():
                 return False
             case NotSent() | NotRun():
                 return (
@@ -345,13 +361,18 @@
             if attempts.is_trial:
                 self._report_survival(request, admitted, attempts, receiver, now)
                 wake_at = min(wake_at, now + TRIAL_CHECK_INTERVAL_S)
+            watched = {exchange, self._quarantine.changed}
+            if not self._last_call.done():
+                watched.add(self._last_call)
             await asyncio.wait(
-                {exchange, self._quarantine.changed},
+                watched,
                 timeout=max(0.0, wake_at - now),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if exchange.done():
                 return exchange.result()
+            if self._last_call.done() and not request.response.begun:
+                return Interrupted()
             now = clock.time()
             if now >= deadline:
                 return TimedOut()
