Leave servers alone that say that they leave or want quiet

Cause: two headers of a server's answers were not read: that it leaves, and after a 503 for how long it wants no requests. Change: both are decoded once, in the adapter. A leaving server counts as draining at this daemon by the path of the list; one that asks for quiet is passed over, and callers for whom all ask for quiet are refused with the end of the first quiet at least. A time that is no number is logged and ignored, a longer one than 60 s is cut to that.

--- a/features/platform/limits.feature
+++ b/features/platform/limits.feature
@@ -111,3 +111,44 @@
     And their limit becomes "none"
     And 24 streams of model large arrive each second at all daemons for 3 seconds
     Then the log has a line "limit named" for each of these heads, with 1.6 and then none
+
+  # Guards against: a replica that says in its answers that it leaves gets requests until
+  # the list says so as well.
+  Scenario Outline: A replica that says that it leaves gets no new requests (DRAIN)
+    Given a platform with 3 fabric domains of 8 replicas and 3 daemons
+    And its groups are open
+    When 30 look-ups are requested, 20 a second
+    And <who> says in its answers that it leaves, and <more>
+    And 30 look-ups are requested, 20 a second
+    And <who> is noted to have been told of
+    And 60 look-ups are requested, 20 a second
+    Then <who> got no request since
+
+    Examples:
+      | who             | more                    |
+      | plain replica 0 | the list does not       |
+      | plain replica 0 | the store is down       |
+
+  # Guards against: a replica that asked for quiet gets requests all the same.
+  Scenario Outline: A replica that turns requests away for <seconds> seconds is left alone (BUDGET)
+    Given a platform with 3 fabric domains of 8 replicas and 3 daemons
+    And its groups are open
+    And the log is captured
+    When plain replica 0 turns requests away and asks for "<seconds>" seconds of quiet
+    And 80 look-ups are requested, 20 a second
+    Then each daemon sent it between <least> and <most> requests
+    And all look-ups were answered
+
+    Examples:
+      | seconds | least | most |
+      | 8.5     | 1     | 3    |
+      | 1e300   | 1     | 3    |
+      | -1      | 3     | 40   |
+      | soon    | 3     | 40   |
+
+  Scenario: Callers are told to return after the quiet that all replicas ask for
+    Given a platform with 3 fabric domains of 8 replicas and 3 daemons
+    And its groups are open
+    When every plain replica turns requests away and asks for "1.5" seconds of quiet
+    And 40 look-ups are requested, 20 a second
+    Then those refused were told to return no earlier than the quiet ends
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -176,7 +176,7 @@
         PlatformHeaders(),
         Clock(),
         event_filter,
-        lambda limit: None,
+        lambda answer: None,
     )
     try:
         async with asyncio.timeout(3.0):
--- a/features/steps/endless_steps.py
+++ b/features/steps/endless_steps.py
@@ -140,7 +140,7 @@
         PlatformHeaders(),
         Clock(),
         event_filter,
-        lambda limit: None,
+        lambda answer: None,
     )
     await pool.exchange(
         address, "GET", "/", [("Host", "x")], b"", receiver, fresh=False, connect_s=1.0
--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -121,18 +121,16 @@
     assert leaders == context.leaders_before, (leaders, context.leaders_before)
 
 
-@when("plain replica {index:d} {what}")
-def when_plain_leaves(context, index, what):
-    fleet = context.simulation.fleet
-    replica = fleet.plain_replicas_by_id[f"p-{index}"]
+@when("plain replica {index:d} drains")
+def when_plain_drains(context, index):
+    replica = context.simulation.fleet.plain_replicas_by_id[f"p-{index}"]
+    context.simulation.call_in_loop(lambda: replica.publish("draining"))
 
-    def leave():
-        if what == "drains":
-            replica.publish("draining")
-        else:
-            fleet.store.remove("servers", replica.id)
 
-    context.simulation.call_in_loop(leave)
+@when("plain replica {index:d} is removed")
+def when_plain_removed(context, index):
+    store = context.simulation.fleet.store
+    context.simulation.call_in_loop(lambda: store.remove("servers", f"p-{index}"))
 
 
 @when("{count:d} look-ups are requested, {rate:d} a second")
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
 from logbook import Logger
 
@@ -109,6 +110,20 @@
         self._rebuild_index()
         return self._heads_by_service_and_model.get((service, model), ())
 
+    def record_leaving(self, backend):
+        """Record that ``backend`` has said that it leaves, whatever the list says."""
+        known = self.backends_by_id.get(backend.id)
+        if (
+            known is None
+            or known.incarnation != backend.incarnation
+            or known.state is BackendState.DRAINING
+        ):
+            return
+        log.notice("backend says that it leaves", backend=backend.id)
+        leaving = replace(known, state=BackendState.DRAINING)
+        before = self.backends_by_id
+        self._replace(before, {**before, backend.id: leaving}, self.revision)
+
     def _apply(self, update):
         before = self.backends_by_id
         went_back = self.loaded and (
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -11,6 +11,8 @@
 MIN_PROGRESS_BYTES = 512
 # Another backend server may have given the answer.
 MISDIRECTED_STATUS = 421
+# Callers do not wait longer than this.
+MAX_RETURN_S = 60.0
 
 
 class AnswerReceiver:
@@ -38,11 +40,11 @@
         "_began_at",
         "_clock",
         "_request",
-        "_record_limit",
+        "_record_wishes",
     )
 
     def __init__(
-        self, request, load, latency, codec, clock, event_filter, record_limit
+        self, request, load, latency, codec, clock, event_filter, record_wishes
     ):
         """Pass the answer on to the caller of ``request``.
 
@@ -50,7 +52,7 @@
         :param latency: the `ModelLatency` of the model, for a stream.
         :param codec: reads and writes the platform's headers.
         :param event_filter: the stream's `EventFilter`, or ``None`` for a plain answer.
-        :param record_limit: called with the limit that the backend server names.
+        :param record_wishes: called with the `BackendAnswer` once its head has arrived.
         """
         self.answer = None
         self.progress_at = clock.time()
@@ -67,7 +69,7 @@
         self._began_at = self.progress_at
         self._clock = clock
         self._request = request
-        self._record_limit = record_limit
+        self._record_wishes = record_wishes
         if event_filter is not None:
             event_filter.discard_partial_event()
 
@@ -91,7 +93,7 @@
         if self.answer.load is not None:
             self._load.record_report(self.answer.load, self.progress_at)
         if self.answer.attempt_id and self.answer.status != MISDIRECTED_STATUS:
-            self._record_limit(self.answer.limit)
+            self._record_wishes(self.answer)
 
     async def data_received(self, chunk):
         """Pass on the complete part of ``chunk`` and buffer the remainder."""
@@ -186,7 +188,7 @@
     def _failure_outcome(self):
         answer = self.answer
         if answer.not_run:
-            return NotRun(answer.status, answer.retry_after_s, answer.culprit)
+            return NotRun(answer.status, _usable_s(answer), answer.culprit)
         if 200 <= answer.status < 300 or not answer.sealed or not answer.attempt_id:
             return Lost(f"answer {answer.status} without seal or id")
         return Failure(
@@ -199,3 +201,11 @@
             size = sum(len(part) for part in self._buffered_chunks)
             headers.append(("Content-Length", str(size)))
         return headers
+
+
+def _usable_s(answer):
+    """Return the answer's time to come back in seconds, ``None`` without one."""
+    retry_after_s = answer.retry_after_s
+    if retry_after_s is None or not 0 < retry_after_s <= MAX_RETURN_S:
+        return None
+    return retry_after_s
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from functools import partial
 
 from logbook import Logger
 
@@ -53,6 +54,7 @@
 # A prompt part that crashes backend servers does so when it begins to write; one that
 # was written on for this long is sound.
 SURVIVED_S = 0.5
+UNAVAILABLE_STATUS = 503
 # Requests that are not answered so long before the daemon's stop get a final answer.
 FINAL_ANSWER_MARGIN_S = 0.3
 TRIAL_CHECK_INTERVAL_S = 0.1
@@ -79,6 +81,7 @@
         "_placement",
         "_configuration",
         "_quarantine",
+        "_directory",
         "_permits",
         "_responder",
         "_budget",
@@ -102,6 +105,7 @@
         self._placement = None
         self._configuration = None
         self._quarantine = None
+        self._directory = None
         self._permits = None
         self._responder = None
         self._budget = RetryBudget(
@@ -122,6 +126,7 @@
         self._placement = kernel.get("placement")
         self._configuration = kernel.get("serving_configuration")
         self._quarantine = kernel.get("quarantine")
+        self._directory = kernel.get("directory")
         self._permits = kernel.get("permits")
         self._responder = Responder(kernel, self._codec)
 
@@ -287,7 +292,7 @@
             self._codec,
             self._kernel.clock,
             attempts.event_filter,
-            self._permits.recorder(backend),
+            partial(self._record_wishes, backend, load),
         )
         load.in_flight += 1
         exchange = asyncio.ensure_future(
@@ -320,6 +325,24 @@
         await self._report_parts(request, admitted, backend, outcome, receiver)
         return outcome
 
+    def _record_wishes(self, backend, load, answer):
+        """Record what an answer says of the requests that its server takes."""
+        self._permits.record_answer(backend, answer.limit)
+        if answer.leaving:
+            self._directory.record_leaving(backend)
+        if answer.status != UNAVAILABLE_STATUS or answer.retry_after_s is None:
+            return
+        if 0 <= answer.retry_after_s < math.inf:
+            now = self._kernel.clock.time()
+            load.ask_quiet(answer.retry_after_s, now)
+            log.info("quiet asked", backend=backend.id, seconds=answer.retry_after_s)
+        else:
+            log.warning(
+                "time of quiet not readable",
+                backend=backend.id,
+                seconds=repr(answer.retry_after_s),
+            )
+
     async def _exchange(self, request, admitted, attempts, backend, deadline, receiver):
         route = admitted.route
         resume_after = attempts.event_filter.last_id if attempts.event_filter else None
--- a/pimentogap/permits/_service.py
+++ b/pimentogap/permits/_service.py
@@ -1,7 +1,5 @@
 """The service that keeps the limits on requests that backend servers name."""
 
-from functools import partial
-
 from logbook import Logger
 
 from pimentogap.errors import PeerUnreachable, ResponseLost
@@ -71,10 +69,6 @@
     async def stop(self):
         """Do nothing; the kernel ends the tasks."""
 
-    def recorder(self, backend):
-        """Return a function that records the limit in an answer of ``backend``."""
-        return partial(self._record_limit, backend)
-
     def is_limited(self, backend):
         """Return whether ``backend`` names a limit."""
         return self._known.per_s(backend) is not None
@@ -202,8 +196,11 @@
         permits, next_in_s = self._issuer.issue(backend_id, limit, wanted, now)
         return {"permits": permits, "next_in_s": next_in_s}
 
-    def _record_limit(self, backend, limit):
-        """Record a `NoLimit`, `NamedLimit` or `UnreadableLimit`."""
+    def record_answer(self, backend, limit):
+        """Record what an answer of ``backend`` says of its limit.
+
+        :param limit: a `NoLimit`, `NamedLimit` or `UnreadableLimit`.
+        """
         named = read_limit(backend, limit)
         if named is None:
             log.warning("limit not readable", backend=backend.id, limit=limit.text)
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -8,6 +8,9 @@
 # doubles with each further one in a row, up to the limit.
 FIRST_SUSPICION_S = 1.0
 MAX_SUSPICION_S = 8.0
+# A backend server that asks for more quiet than this gets a request afterwards, so that
+# it is never forgotten.
+MAX_QUIET_S = 60.0
 
 
 class BackendLoad:
@@ -27,6 +30,7 @@
         "_suspected_until",
         "_consecutive_suspicions",
         "progress_at",
+        "_quiet_until",
     )
 
     def __init__(self, backend_id, slots):
@@ -39,6 +43,15 @@
         self._suspected_until = -math.inf
         self._consecutive_suspicions = 0
         self.progress_at = -math.inf
+        self._quiet_until = -math.inf
+
+    def ask_quiet(self, quiet_s, now):
+        """Send nothing for ``quiet_s`` seconds, as the backend server asks."""
+        self._quiet_until = max(self._quiet_until, now + min(quiet_s, MAX_QUIET_S))
+
+    def quiet_in_s(self, now):
+        """Return the seconds until it takes requests, as far as it has said."""
+        return max(0.0, self._quiet_until - now)
 
     def record_report(self, load, now):
         """Record the `EngineLoad` that came with an answer."""
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Limited:
-    """Every backend server with room has named a limit and got all that it takes.
+    """Every backend server asks for quiet, or got all that the limit it names allows.
 
     The first of them takes another request in ``next_in_s`` seconds.
     """
@@ -116,7 +116,8 @@
         ]
         if not candidates:
             return Missing()
-        waits_s = [self._permits.next_in_s(item) for item in candidates]
+        now = self._kernel.clock.time()
+        waits_s = [self._wait_s(item, now) for item in candidates]
         if min(waits_s) > 0:
             return Limited(min(waits_s))
         candidates = [
@@ -124,12 +125,15 @@
             for item, wait_s in zip(candidates, waits_s, strict=True)
             if wait_s <= 0
         ]
-        now = self._kernel.clock.time()
         unsuspected = [
             item for item in candidates if not self.load(item).is_suspect(now)
         ]
         return self._choose_least_loaded(unsuspected or candidates, now)
 
+    def _wait_s(self, backend, now):
+        """Return the seconds for which ``backend`` takes no request, as it has said."""
+        return max(self._permits.next_in_s(backend), self.load(backend).quiet_in_s(now))
+
     def _choose_least_loaded(self, candidates, now):
         requests_per_slot = [
             self.load(item).requests_per_slot(now) for item in candidates
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -23,6 +23,8 @@
 PROMPT_PARTS = "X-Pimentogap-Prompt-Prefix"
 FAULTY_SERVER = "At-Server"
 LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 LAST_EVENT = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 BEARER_PREFIX = "bearer "
@@ -125,9 +127,10 @@
             # serve the model.
             not_run=NOT_RUN in headers or status == 421,
             load=_engine_load(headers.get(LOAD)),
-            retry_after_s=_float_or_none(headers.get("Retry-After")),
+            retry_after_s=_seconds(headers.get(RETRY_AFTER)),
             culprit=headers.get(FAULTY_SERVER),
             limit=_limit(headers.get(LIMIT)),
+            leaving=headers.get(LEAVING) == "1",
         )
 
     def response_headers(self, headers):
@@ -146,7 +149,7 @@
         """
         pairs = [(ATTEMPT_ID, attempt_id)] if attempt_id else []
         if retry_after_s > 0:
-            pairs.append(("Retry-After", f"{retry_after_s:.2f}"))
+            pairs.append((RETRY_AFTER, f"{retry_after_s:.2f}"))
         return pairs
 
 
@@ -179,6 +182,14 @@
     return EngineLoad(*(int(part) for part in parts))
 
 
+def _seconds(text):
+    """Return seconds, ``None`` if there is no text, NaN if it is no number."""
+    if text is None:
+        return None
+    seconds = _float_or_none(text)
+    return math.nan if seconds is None else seconds
+
+
 def _limit(text):
     if text is None:
         return NoLimit()
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -219,7 +219,8 @@
     ``sealed`` says that the answer has the engine's seal, ``not_run`` that the
     request did not run. ``culprit`` is the server that the answer names as the cause
     of its failure, if it names one. ``limit`` is a `NoLimit`, `NamedLimit` or
-    `UnreadableLimit`.
+    `UnreadableLimit`. ``retry_after_s`` is NaN if it cannot be read. ``leaving`` says
+    that the backend server is about to end.
     """
 
     status: int
@@ -230,3 +231,4 @@
     retry_after_s: float | None = None
     culprit: str | None = None
     limit: NoLimit | NamedLimit | UnreadableLimit = NoLimit()
+    leaving: bool = False
--- a/standins/emulator/_plain.py
+++ b/standins/emulator/_plain.py
@@ -18,7 +18,9 @@
     ``error_share`` and ``refusal_share`` are shares of the requests, from 0 to 1: run
     without an answer, run and answered with status 500, and refused with status 503
     without being run.
-    ``work_s`` is the time that one request takes.
+    ``work_s`` is the time that one request takes. While ``says_leaving`` is set, its
+    answers say that it leaves. With ``quiet_text`` it turns each request away and asks
+    for that many seconds of quiet; ``turned_away`` has the source and time of each.
     """
 
     __slots__ = (
@@ -31,6 +33,9 @@
         "error_share",
         "refusal_share",
         "work_s",
+        "says_leaving",
+        "quiet_text",
+        "turned_away",
         "_store",
         "_records",
         "_random",
@@ -46,6 +51,9 @@
         self.error_share = 0.0
         self.refusal_share = 0.0
         self.work_s = WORK_S
+        self.says_leaving = False
+        self.quiet_text = None
+        self.turned_away = []
         self._store = store
         self._records = records
         self._random = random.Random(f"{id_}-{seed}")
@@ -74,6 +82,17 @@
         if headers.get("x-pimentogap-expect-replica", self.id) != self.id:
             reply.start(421, {"Content-Length": "0"})
             return
+        if self.quiet_text is not None:
+            now = asyncio.get_running_loop().time()
+            self.turned_away.append((source, now))
+            refusal = {
+                "X-Pimentogap-Not-Executed": "1",
+                "X-Pimentogap-Attempt-Id": headers.get("x-pimentogap-attempt-id", ""),
+                "Content-Length": "0",
+                "Retry-After": self.quiet_text,
+            }
+            reply.start(503, refusal)
+            return
         if self._random.random() < self.refusal_share:
             refusal = {"X-Pimentogap-Not-Executed": "1", "Content-Length": "0"}
             reply.start(503, refusal)
@@ -95,5 +114,7 @@
             "X-Pimentogap-Attempt-Id": attempt_id,
             "X-Pimentogap-Replica-Seal": f"seal-{self.id}",
         }
+        if self.says_leaving:
+            answer["Server-Leaving"] = "1"
         reply.start(500 if failed else 200, answer)
         await reply.data(body)
