Survive odd values in the objects that the system itself keeps in the store

Cause: the lease, the daemons' objects, the lists of the leader and the reports were decoded as if nobody else wrote to them. An odd term left the fleet without a leader for good; an odd zone, a number too large for a float or a list of another shape ended the task that follows the collection, at every daemon, each time that it was restarted. Class: one input's fault handled at the level of all, as with the entries of replicas. Change: each document is read with its odd fields left out, or rejected whole by one exception, InvalidDocument; terms and serials out of range are none. A daemon whose object something else wrote writes it again; terms are above the highest that this daemon has seen. The leader's two lists, of parts and of limits, are followed and written by one class, LeaderList, in place of the same code twice. The step for malformed lists now expects that one exception instead of four.

--- a/features/platform/odd_entries.feature
+++ b/features/platform/odd_entries.feature
@@ -40,3 +40,25 @@
 
   Scenario: No value of any field of a configuration ends its decoding
     Then a configuration is decoded or rejected whatever value each of its fields has
+
+  # Guards against: an object of the system's own kinds that something else wrote ends a
+  # task or the process.
+  Scenario Outline: An odd value in the <kind> object is survived
+    Given a platform with 2 fabric domains of 8 replicas and 3 daemons
+    And its groups are open
+    And the log is captured
+    When the object "<name>" of kind <kind> gets each odd value in place of each of its values
+    And 8 seconds pass
+    And 30 look-ups are requested, 20 a second
+    And 2 seconds pass
+    Then exactly one daemon is leader
+    And all look-ups were answered, and no task has failed
+
+    Examples:
+      | kind       | name         |
+      | leases     | formation    |
+      | daemons    | front-1      |
+      | daemons    | front-7      |
+      | quarantine | parts        |
+      | quarantine | reports.odd  |
+      | limits     | named        |
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from tornado.httputil import HTTPHeaders
 
+from pimentogap.errors import InvalidDocument
 from pimentogap.platform import PlatformHeaders
 from pimentogap.quarantine import (
     EvidenceTable,
@@ -197,7 +198,7 @@
     decode = {"list": decode_list, "report": decode_reports}[what]
     try:
         decode(json.loads(text))
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except InvalidDocument:
         return
     raise AssertionError("it was decoded")
 
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -160,3 +160,39 @@
     for key, inner in items:
         yield (*path, key)
         yield from _paths(inner, (*path, key))
+
+
+OWN_OBJECTS_BY_NAME = {
+    "formation": {"holder": "front-9", "term": 3, "address": "front-9:1", "renewal": 1},
+    "front-1": {"zone": "z-a", "address": "front-1:27002", "capacity": 1},
+    "front-7": {"zone": "z-a", "address": "front-7:27002", "capacity": 1},
+    "parts": {"term": 9, "serial": 9, "parts": {"llm/x": [3, 1.0, False]}},
+    "reports.odd": {"strikes": [["llm/x", "i/1", "a1"]], "served": [["llm/y", 0.5]]},
+    "named": {"term": 9, "serial": 9, "limits": {"i-d0-0": [0, 2.0]}},
+}
+ODD_INTERVAL_S = 0.4
+
+
+@when(
+    'the object "{name}" of kind {kind} gets each odd value in place of each of its'
+    " values"
+)
+def when_odd_objects(context, name, kind):
+    store = context.simulation.fleet.store
+    document = OWN_OBJECTS_BY_NAME[name]
+    for odd in [*_variants(document), *ODD_VALUES]:
+        # No store holds what JSON does not have.
+        text = json.dumps(odd, default=str)
+        if "Infinity" in text or "NaN" in text:
+            continue
+        context.simulation.call_in_loop(lambda odd=odd: store.put(kind, name, odd))
+        context.simulation.wait(ODD_INTERVAL_S)
+
+
+@then("all look-ups were answered, and no task has failed")
+def then_answered_without_failure(context):
+    assert all(item.response.status == 200 for item in context.lookups)
+    failed = [
+        record for record in context.log.records if record.channel == "kernel.tasks"
+    ]
+    assert not failed, (len(failed), failed[0].msg, failed[0].formatted_exception)
--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -134,8 +134,21 @@
                 self._register_again_if_removed(change.stored)
             else:
                 self._stored_by_id[change.stored.name] = change.stored
+        self._register_again_if_changed()
         self.update_from_list(self._stored_by_id.values())
 
+    def _register_again_if_changed(self):
+        """Write this daemon's object again if something else has written it since."""
+        own = self._stored_by_id.get(self._id)
+        if own is None or not 0 < self._version < own.version:
+            return
+        if own.value == self._value:
+            self._version = own.version
+            return
+        log.warning("daemon's object was changed and is written again")
+        self._version = 0
+        self._kernel.spawn(self.name, self._register, on_error=RestartOnError())
+
     def _register_again_if_removed(self, stored):
         """Write this daemon's object again if the leader took it for ended."""
         if stored.name == self._id and stored.version == self._version:
@@ -146,9 +159,7 @@
     def update_from_list(self, objects):
         """Update the count and the relays from the daemons' `Stored` ``objects``."""
         values_by_id = {
-            stored.name: stored.value
-            for stored in objects
-            if isinstance(stored.value, dict) and stored.value.get("address")
+            stored.name: stored.value for stored in objects if _is_daemon(stored.value)
         }
         self.count = max(1, len(values_by_id))
         self.addresses_by_id = {
@@ -185,6 +196,14 @@
         return sorted(addresses, key=rank)
 
 
+def _is_daemon(value):
+    """Return whether ``value`` is what a daemon writes of itself."""
+    if not isinstance(value, dict):
+        return False
+    texts = (value.get("zone"), value.get("address"))
+    return all(isinstance(text, str) and text for text in texts)
+
+
 def relay_capacity(cores, link_mbps):
     """Return a VM's capacity as a relay, by whichever of the two is scarcer."""
     return int(min(cores / RELAY_CORES, link_mbps / RELAY_LINK_MBPS))
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -4,6 +4,7 @@
 
 from pimentogap.errors import StoreError
 from pimentogap.kernel import RestartOnError
+from pimentogap.schema import read_count
 from pimentogap.store import Conflict, Put, Revision, Written
 
 log = Logger("formation.lease")
@@ -32,9 +33,11 @@
     __slots__ = ("holder", "term", "address", "version", "seen_at", "is_copy")
 
     def __init__(self, value, version, seen_at, *, is_copy=False):
-        self.holder = value.get("holder", "")
-        self.term = value.get("term", 0)
-        self.address = value.get("address", "")
+        """Read the lease in ``value``, of which odd fields are left out."""
+        fields = value if isinstance(value, dict) else {}
+        self.holder = _text(fields.get("holder"))
+        self.term = _term(fields.get("term"))
+        self.address = _text(fields.get("address"))
         self.version = version
         self.seen_at = seen_at
         self.is_copy = is_copy
@@ -46,6 +49,17 @@
         return self.holder in ("", daemon_id) and not self.is_copy
 
 
+def _text(value):
+    return value if isinstance(value, str) else ""
+
+
+def _term(value):
+    try:
+        return read_count(value)
+    except ValueError:
+        return 0
+
+
 class LeaseService:
     """Competes for the lease, renews it, and tells whether this daemon holds it.
 
@@ -70,6 +84,7 @@
         "_store",
         "_seen",
         "_held_until",
+        "_highest_term",
         "term",
         "is_first",
     )
@@ -85,6 +100,7 @@
         self._store = None
         self._seen = None
         self._held_until = 0.0
+        self._highest_term = 0
         self.term = 0
         self.is_first = False
 
@@ -149,9 +165,8 @@
             is_copy = (
                 seen is not None and Revision(seen.version).era < stored.version.era
             )
-            seen = self._seen = SeenLease(
-                stored.value or {}, stored.version, now, is_copy=is_copy
-            )
+            seen = SeenLease(stored.value, stored.version, now, is_copy=is_copy)
+            self._record_seen(seen)
         if seen.is_free(self._id, now):
             await self._acquire(seen.version, seen.term)
 
@@ -160,7 +175,8 @@
 
         :param term: the term in the store.
         """
-        newer_term = max(term, self.term, self._store.era * TERMS_PER_ERA) + 1
+        least_term = self._store.era * TERMS_PER_ERA
+        newer_term = max(term, self._highest_term, least_term) + 1
         if await self._write(version, newer_term):
             self.term = newer_term
             self.is_first = not version
@@ -199,7 +215,7 @@
         match await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S):
             case Written(revision):
                 now = self._kernel.clock.time()
-                self._seen = SeenLease(value, revision, now)
+                self._record_seen(SeenLease(value, revision, now))
                 if term <= Revision(revision).era * TERMS_PER_ERA:
                     # The store went back since the term was chosen.
                     self._held_until = 0.0
@@ -208,12 +224,17 @@
                 return True
             case Conflict(current):
                 self._held_until = 0.0
-                self._seen = self._seen_lease(current)
+                self._record_seen(self._seen_lease(current))
                 return False
         return False
 
+    def _record_seen(self, seen):
+        self._seen = seen
+        if seen is not None:
+            self._highest_term = max(self._highest_term, seen.term)
+
     def _seen_lease(self, current):
         if current is None:
             return None
         now = self._kernel.clock.time()
-        return SeenLease(current.value or {}, current.version, now)
+        return SeenLease(current.value, current.version, now)
--- a/pimentogap/permits/_bulletin.py
+++ b/pimentogap/permits/_bulletin.py
@@ -4,7 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.errors import PeerUnreachable, ResponseLost
+from pimentogap.errors import InvalidDocument, PeerUnreachable, ResponseLost
 from pimentogap.permits._documents import (
     LimitList,
     decode_limits,
@@ -12,8 +12,7 @@
     encode_limits,
     encode_list,
 )
-from pimentogap.relay import has_object
-from pimentogap.store import Conflict, Put, Written
+from pimentogap.relay import LeaderList
 
 log = Logger("permits.bulletin")
 
@@ -22,10 +21,6 @@
 REPORT_CALL = "named_limits"
 REPORT_TIMEOUT_S = 0.4
 REPORT_RETRY_DELAY_S = 0.25
-WRITE_RETRY_LIMIT_S = 1.0
-# Pause between two writes of the list, so that limits named together cost one.
-WRITE_INTERVAL_S = 0.3
-LEADER_CHECK_INTERVAL_S = 1.0
 # The list changes rarely, and whoever gets an answer learns the limit by itself.
 WATCH_WAIT_S = 5.0
 
@@ -42,11 +37,9 @@
         "_kernel",
         "_lease",
         "_apply",
-        "_version",
-        "_stored_order",
+        "_list",
         "_pending_by_id",
         "_reported",
-        "_unwritten",
     )
 
     def __init__(self, kernel, apply):
@@ -59,16 +52,28 @@
         self._kernel = kernel
         self._lease = kernel.get("lease")
         self._apply = apply
-        self._version = 0
-        self._stored_order = self.current.order
+        self._list = LeaderList(
+            kernel,
+            collection=COLLECTION,
+            name=LIST_NAME,
+            encode=encode_list,
+            decode=decode_list,
+            current=lambda: self.current,
+            accept=self._replace,
+            empty=self.current,
+        )
         self._pending_by_id = {}
         self._reported = asyncio.Event()
-        self._unwritten = asyncio.Event()
         kernel.get("calls").register(REPORT_CALL, self._answer_report)
         kernel.get("relay").follow(
-            COLLECTION, self._apply_update, watch_wait_s=WATCH_WAIT_S
+            COLLECTION, self._list.apply_update, watch_wait_s=WATCH_WAIT_S
         )
 
+    @property
+    def write_lists(self):
+        """Return the endless task by which the leader writes the list."""
+        return self._list.write_lists
+
     def report(self, backend_id, limit):
         """Tell the leader of a `BackendLimit`, unless its list has it."""
         if limit.is_like(self.current.limits_by_id.get(backend_id)):
@@ -116,8 +121,8 @@
             return {}
         try:
             limits_by_id = decode_limits(body.get("limits"))
-        except (TypeError, ValueError, AttributeError) as error:
-            log.warning("report on limits not readable", error=repr(error))
+        except InvalidDocument as error:
+            log.warning("report on limits not readable", error=str(error))
             return {}
         self._merge(limits_by_id)
         return {"taken": True}
@@ -137,73 +142,7 @@
         is_first = self.current.term != self._lease.term
         serial = 1 if is_first else self.current.serial + 1
         self._replace(LimitList(self._lease.term, serial, merged_by_id))
-        self._unwritten.set()
-
-    async def write_lists(self):
-        """Write each list that the store does not have, while this daemon leads."""
-        clock = self._kernel.clock
-        while True:
-            try:
-                async with clock.timeout(LEADER_CHECK_INTERVAL_S):
-                    await self._unwritten.wait()
-            except TimeoutError:
-                # Whether this daemon has begun to lead is looked up below.
-                pass
-            self._unwritten.clear()
-            current = self.current
-            if not self._lease.is_held() or current.order <= self._stored_order:
-                continue
-            if await self._write(current):
-                self._stored_order = max(self._stored_order, current.order)
-            else:
-                self._unwritten.set()
-            await clock.sleep(WRITE_INTERVAL_S)
-
-    async def _write(self, limits):
-        """Return whether the store has this list or that of a later leader."""
-        call = Put(COLLECTION, LIST_NAME, encode_list(limits), self._version)
-        store = self._kernel.get("store")
-        match await store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S):
-            case Written(version):
-                self._version = max(self._version, version)
-                return True
-            case Conflict(current):
-                self._version = current.version if current is not None else 0
-                if current is not None:
-                    self._apply_document(current.value)
-                return self.current.order > limits.order
-        return False
-
-    def _apply_update(self, update):
-        stored = update.objects + tuple(
-            change.stored for change in update.changes if not change.removed
-        )
-        if not has_object(update, LIST_NAME):
-            self._version = 0
-            self._record_stored(LimitList())
-        for item in stored:
-            if item.name == LIST_NAME:
-                self._version = max(self._version, item.version)
-                self._apply_document(item.value)
-
-    def _apply_document(self, document):
-        try:
-            newer = decode_list(document)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.error("list of limits not readable", error=repr(error))
-            return
-        if newer.order > self.current.order:
-            self._replace(newer)
-        self._record_stored(newer)
-
-    def _record_stored(self, stored):
-        """Record which list the store has, and have a newer one written.
-
-        The store loses what the system wrote when it comes back from an older copy.
-        """
-        self._stored_order = stored.order
-        if stored.order < self.current.order:
-            self._unwritten.set()
+        self._list.request_write()
 
     def _replace(self, newer):
         """Put ``newer`` in force and apply the entries that it changes."""
--- a/pimentogap/permits/_documents.py
+++ b/pimentogap/permits/_documents.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from pimentogap.permits._known import MAX_LIMITS, BackendLimit
+from pimentogap.permits._known import MAX_LIMITS, MAX_RATE_PER_S, BackendLimit
+from pimentogap.schema import read_count, reject_malformed
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,15 +33,10 @@
 def decode_limits(data):
     """Return the limits that `encode_limits` turned into ``data``.
 
-    :raises TypeError, ValueError, AttributeError: if it is malformed.
+    :raises InvalidDocument: if it is malformed.
     """
-    limits_by_id = {}
-    for id_, (incarnation, per_s) in list(data.items())[:MAX_LIMITS]:
-        rate = None if per_s is None else float(per_s)
-        if rate is not None and not rate > 0:
-            raise ValueError(f"the limit of {id_} must be above 0, got {per_s!r}")
-        limits_by_id[str(id_)] = BackendLimit(int(incarnation), rate)
-    return limits_by_id
+    with reject_malformed("limits by backend server"):
+        return _limits(data)
 
 
 def encode_list(limits):
@@ -55,8 +51,21 @@
 def decode_list(data):
     """Return the `LimitList` that `encode_list` turned into ``data``.
 
-    :raises KeyError, TypeError, ValueError, AttributeError: if it is malformed.
+    :raises InvalidDocument: if it is malformed.
     """
-    return LimitList(
-        int(data["term"]), int(data["serial"]), decode_limits(data["limits"])
-    )
+    with reject_malformed("a list of limits"):
+        return LimitList(
+            read_count(data["term"]),
+            read_count(data["serial"]),
+            _limits(data["limits"]),
+        )
+
+
+def _limits(data):
+    limits_by_id = {}
+    for id_, (incarnation, per_s) in list(data.items())[:MAX_LIMITS]:
+        rate = None if per_s is None else float(per_s)
+        if rate is not None and not 0 < rate <= MAX_RATE_PER_S:
+            raise ValueError(f"the limit of {id_} must be above 0, got {per_s!r}")
+        limits_by_id[str(id_)] = BackendLimit(int(incarnation), rate)
+    return limits_by_id
--- a/pimentogap/quarantine/_documents.py
+++ b/pimentogap/quarantine/_documents.py
@@ -6,6 +6,7 @@
     Served,
     Strike,
 )
+from pimentogap.schema import read_count, reject_malformed
 
 
 def encode_list(quarantined):
@@ -23,17 +24,19 @@
 def decode_list(data):
     """Return the `QuarantineList` that `encode_list` turned into ``data``.
 
-    :raises KeyError, TypeError, ValueError, AttributeError: if it is malformed.
+    :raises InvalidDocument: if it is malformed.
     """
-    parts_by_key = {
-        str(key): QuarantinedPart(
-            strikes=int(strikes),
-            trial_after_s=float(trial_after_s),
-            convicted_again=bool(again),
-        )
-        for key, (strikes, trial_after_s, again) in data["parts"].items()
-    }
-    return QuarantineList(int(data["term"]), int(data["serial"]), parts_by_key)
+    with reject_malformed("a list of quarantined parts"):
+        parts_by_key = {
+            str(key): QuarantinedPart(
+                strikes=int(strikes),
+                trial_after_s=float(trial_after_s),
+                convicted_again=bool(again),
+            )
+            for key, (strikes, trial_after_s, again) in data["parts"].items()
+        }
+        term, serial = read_count(data["term"]), read_count(data["serial"])
+        return QuarantineList(term, serial, parts_by_key)
 
 
 def encode_reports(reports):
@@ -51,8 +54,11 @@
 def decode_reports(data):
     """Return the `Strike` and the `Served` reports in ``data``, as two lists.
 
-    :raises KeyError, TypeError, ValueError: if it is malformed.
+    :raises InvalidDocument: if it is malformed.
     """
-    strikes = [Strike(str(k), str(life), str(id_)) for k, life, id_ in data["strikes"]]
-    served = [Served(str(key), float(ago_s)) for key, ago_s in data["served"]]
-    return strikes, served
+    with reject_malformed("reports on prompt parts"):
+        strikes = [
+            Strike(str(key), str(life), str(id_)) for key, life, id_ in data["strikes"]
+        ]
+        served = [Served(str(key), float(ago_s)) for key, ago_s in data["served"]]
+        return strikes, served
--- a/pimentogap/quarantine/_service.py
+++ b/pimentogap/quarantine/_service.py
@@ -5,12 +5,12 @@
 
 from logbook import Logger
 
-from pimentogap.errors import PeerUnreachable, ResponseLost
+from pimentogap.errors import InvalidDocument, PeerUnreachable, ResponseLost
 from pimentogap.kernel import RestartOnError
 from pimentogap.metrics import Series
-from pimentogap.quarantine._documents import decode_list, decode_reports
+from pimentogap.quarantine._documents import decode_reports
 from pimentogap.quarantine._evidence import EvidenceTable, time_to_trial_s
-from pimentogap.quarantine._judge import COLLECTION, LIST_NAME, Judge
+from pimentogap.quarantine._judge import COLLECTION, Judge
 from pimentogap.quarantine._memory import PartMemory
 from pimentogap.quarantine._reports import REPORT_CALL, REPORT_PREFIX, ReportSender
 from pimentogap.quarantine._types import (
@@ -22,7 +22,6 @@
     Trial,
     part_key,
 )
-from pimentogap.relay import has_object
 
 log = Logger("quarantine")
 
@@ -116,7 +115,7 @@
         for task in (
             self._reports.send,
             self._reports.repeat_to_new_leader,
-            self._judge.write_lists,
+            self._judge.list.write_lists,
         ):
             kernel.spawn(self.name, task, on_error=RestartOnError())
 
@@ -208,12 +207,7 @@
 
     def apply_document(self, document):
         """Apply a list that `encode_list` turned into plain data, if it is newer."""
-        try:
-            newer = decode_list(document)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.error("quarantine list not readable", error=repr(error))
-            return
-        self.apply_list(newer)
+        self._judge.list.apply_document(document)
 
     def publish(self, newer):
         """Apply the `QuarantineList` ``newer`` and write it, as the leader."""
@@ -272,28 +266,23 @@
 
     def _apply_update(self, update):
         self.loaded = True
+        self._judge.list.apply_update(update)
         stored = update.objects + tuple(
             change.stored for change in update.changes if not change.removed
         )
-        if not has_object(update, LIST_NAME):
-            self._judge.record_stored(None)
         for item in stored:
-            if item.name == LIST_NAME:
-                self._judge.version = max(self._judge.version, item.version)
-                self.apply_document(item.value)
-                self._judge.record_stored(item.value)
-            elif item.name.startswith(REPORT_PREFIX):
+            if item.name.startswith(REPORT_PREFIX):
                 self._apply_reports(item)
 
     def _apply_reports(self, stored):
         """Judge reports that a daemon wrote because no leader answered it."""
         try:
             strikes, _ = decode_reports(stored.value)
-        except (KeyError, TypeError, ValueError) as error:
+        except InvalidDocument as error:
             log.warning(
                 "report on prompt parts not readable",
                 name=stored.name,
-                error=repr(error),
+                error=str(error),
             )
             return
         if self._kernel.get("lease").is_held():
--- a/pimentogap/relay/_changes.py
+++ b/pimentogap/relay/_changes.py
@@ -27,14 +27,6 @@
     since_outage_s: float
 
 
-def has_object(update, name):
-    """Return ``False`` if ``update`` shows that there is no object called ``name``."""
-    if update.is_snapshot:
-        return any(stored.name == name for stored in update.objects)
-    last = [change for change in update.changes if change.stored.name == name][-1:]
-    return not any(change.removed for change in last)
-
-
 class ChangeLog:
     """The current objects of a collection and its last `MAX_CHANGES` changes."""
 
--- a/pimentogap/schema/__init__.py
+++ b/pimentogap/schema/__init__.py
@@ -2,6 +2,7 @@
 
 from pimentogap.schema._check import Problem, check, describe
 from pimentogap.schema._dump import dump
+from pimentogap.schema._malformed import read_count, reject_malformed
 from pimentogap.schema._shapes import (
     Address,
     Choice,
@@ -33,5 +34,7 @@
     "describe",
     "dump",
     "name_shape",
+    "read_count",
+    "reject_malformed",
     "shaped",
 ]
