--- a/fuzz/_front.py
+++ b/fuzz/_front.py
@@ -19,6 +19,7 @@
 EVENTS_PER_STREAM = 27
 SOUND_PART = "sound"
 DEADLY_PART = "deadly"
+WRITE_AGAIN_S = 0.3
 # Longer than the longest time to the trial of a quarantined part.
 RELEASE_LIMIT_S = 65.0
 
@@ -100,6 +101,24 @@
     daemon: int
 
 
+@dataclass(frozen=True, slots=True)
+class GoBack:
+    """The store comes back from a copy of ``age_s`` seconds ago.
+
+    What the operator and the replicas wrote since is written again a little later.
+    """
+
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NameLimit:
+    """A replica names a limit in its answers from now on; ``None`` for no limit."""
+
+    index: int
+    text: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class Configure:
     """The operator writes the next version of the configuration."""
@@ -184,6 +203,13 @@
                 self.version += 1
                 document = configuration_document(self.version)
                 fleet.store.put("config", "main", document)
+            case GoBack(age_s):
+                lost_writes = fleet.store.go_back(age_s)
+                asyncio.get_running_loop().call_later(
+                    WRITE_AGAIN_S, fleet.store.write_again, lost_writes
+                )
+            case NameLimit(index, text):
+                self._replica(index).limit_text = text
             case BadAnswers(lost, refused):
                 for replica in fleet.plain_replicas_by_id.values():
                     replica.lose_answer_share, replica.refusal_share = lost, refused
@@ -216,6 +242,8 @@
         await self.apply(Store("up"))
         await self.apply(LateOrders(0.0))
         await self.apply(BadAnswers(0.0, 0.0))
+        for index in range(REPLICAS):
+            await self.apply(NameLimit(index, None))
         for index in range(REPLICAS):
             replica = self._replica(index)
             if replica.is_silent or replica.cut_from_store or replica.state != "ready":
@@ -342,6 +370,13 @@
         ),
         (st.builds(RestartDaemon, DAEMON), 2),
         (st.builds(Configure), 2),
+        (st.builds(GoBack, st.sampled_from([0.5, 2.0, 5.0, 9.0])), 2),
+        (
+            st.builds(
+                NameLimit, REPLICA, st.sampled_from(["0.5", "2", "0", "-1", None])
+            ),
+            3,
+        ),
         (st.builds(BadAnswers, SHARE, SHARE), 1),
         (st.builds(Wait, st.sampled_from([0.2, 0.5, 1.0, 3.0, 6.0])), 10),
     ]
