Let the emulator write again what was written last, after several returns to a copy

Three returns came in one instant; what the first had lost, version 1, was written again after the third, and kept what the third had lost from being written again. The platform's operator writes its newest version, so this is a fault of the stand-in; the check stays as it is. Change: the emulator remembers what the operator and the replicas wrote last, and writes that.

--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -44,10 +44,10 @@
         store.faults.down = True
         store.drop_watches()
         await asyncio.sleep(away)
-        lost = store.go_back(age)
+        store.go_back(age)
         store.faults.down = False
         loop = asyncio.get_running_loop()
-        loop.call_later(write_again_s, store.write_again, lost)
+        loop.call_later(write_again_s, store.write_again)
         context.back_at = loop.time()
 
     context.simulation.run(go_back())
--- a/fuzz/_front.py
+++ b/fuzz/_front.py
@@ -204,9 +204,9 @@
                 document = configuration_document(self.version)
                 fleet.store.put("config", "main", document)
             case GoBack(age_s):
-                lost_writes = fleet.store.go_back(age_s)
+                fleet.store.go_back(age_s)
                 asyncio.get_running_loop().call_later(
-                    WRITE_AGAIN_S, fleet.store.write_again, lost_writes
+                    WRITE_AGAIN_S, fleet.store.write_again
                 )
             case NameLimit(index, text):
                 self._replica(index).limit_text = text
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -77,7 +77,7 @@
         "calls",
         "_history",
         "_writes",
-        "_copy_revision",
+        "_newest_by_key",
         "_raw_by_marker",
         "_loop",
         "_compacted_before",
@@ -94,7 +94,8 @@
         self.calls = 0
         self._history = deque(maxlen=HISTORY_EVENTS)
         self._writes = []
-        self._copy_revision = 0
+        # What others than the system wrote last; nothing for what they removed.
+        self._newest_by_key = {}
         self._raw_by_marker = {}
         # That of the first call; objects are written before any loop runs, too.
         self._loop = None
@@ -105,6 +106,8 @@
 
     def put(self, kind, name, specification):
         """Write an object without a precondition, as the operator or a replica does."""
+        if kind in REWRITTEN_KINDS:
+            self._newest_by_key[kind, name] = specification
         objects = self.objects_by_kind.setdefault(kind, {})
         current = objects.get(name)
         if current is not None and current["specification"] == specification:
@@ -119,6 +122,8 @@
 
     def remove(self, kind, name):
         """Remove an object, if it exists."""
+        if kind in REWRITTEN_KINDS:
+            self._newest_by_key[kind, name] = None
         removed = self.objects_by_kind.get(kind, {}).pop(name, None)
         if removed is not None:
             self.revision += 1
@@ -142,7 +147,6 @@
         """
         copied_at = self._loop.time() - age_s
         kept = [write for write in self._writes if write.at <= copied_at]
-        lost = self._writes[len(kept) :]
         self._writes = kept
         self.objects_by_kind = {}
         for write in kept:
@@ -151,35 +155,19 @@
                 objects.pop(write.name, None)
             else:
                 objects[write.name] = write.item
-        self.revision = self._copy_revision = kept[-1].revision if kept else 1
+        self.revision = kept[-1].revision if kept else 1
         kept_events = [event for event in self._history if event[0] <= self.revision]
         self._history = deque(kept_events, maxlen=HISTORY_EVENTS)
         self.era += 1
         self._wake_watches()
-        return lost
 
-    def write_again(self, lost):
-        """Write again what the operator and the replicas wrote of ``lost``.
-
-        What they have written since the store came back stays.
-        """
-        newest_by_key = {
-            (write.kind, write.name): write.item
-            for write in lost
-            if write.kind in REWRITTEN_KINDS
-        }
-        written_since = {
-            (write.kind, write.name)
-            for write in self._writes
-            if write.revision > self._copy_revision
-        }
-        for (kind, name), item in newest_by_key.items():
-            if (kind, name) in written_since:
-                continue
-            if item is None:
+    def write_again(self):
+        """Write again what the operator and the replicas wrote last, if it is lost."""
+        for (kind, name), specification in list(self._newest_by_key.items()):
+            if specification is None:
                 self.remove(kind, name)
             else:
-                self.put(kind, name, item["specification"])
+                self.put(kind, name, specification)
 
     async def handle(self, request, reply, source=""):
         """Answer one call of the object API; ``source`` is the name of the caller."""
