--- a/review/common/world.py
+++ b/review/common/world.py
@@ -325,6 +325,10 @@
         return encode_answer(200, sealed, f"booked {attempt}\n".encode())
 
 
+# The class of the replicas of `redacteur`; a case may set another one.
+OtherReplica = Replica
+
+
 class Daemon:
     """A front daemon: a process of its own."""
 
@@ -460,7 +464,7 @@
             await replica.start()
             self.replicas.append(replica)
         for index in range(12):
-            other = Replica(
+            other = OtherReplica(
                 self.store, self.record, f"i-d{index}", f"{self.net}.{101 + index}",
                 list(ZONES)[index % 3], service="redacteur",
             )  # fmt: skip
