--- a/review/common/world.py
+++ b/review/common/world.py
@@ -109,11 +109,15 @@
         self.deaf_to = set()
         self.silent_to = set()
         self.daemons = {}
+        self._generation = 0
         self._changed = asyncio.Event()
 
     async def serve(self, host):
         self._server = await asyncio.start_server(self._serve, host, STORE_PORT)
 
+    def silence_connections(self):
+        self._generation += 1
+
     def put(self, kind, name, spec):
         self.revision += 1
         item = {
@@ -142,19 +146,24 @@
     async def _serve(self, reader, writer):
         ends = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
         pid = None
+        generation = self._generation
         try:
             while True:
                 line, headers, body = await read_message(reader)
                 if pid is None:
                     pid = _owner_of(*ends, list(self.daemons))
                 # A call that is sent while its way is cut does not arrive.
-                while pid in self.deaf_to or pid in self.silent_to:
+                while (
+                    pid in self.deaf_to
+                    or pid in self.silent_to
+                    or generation != self._generation
+                ):
                     await asyncio.sleep(0.01)
                     if reader.at_eof():
                         return
                 await asyncio.sleep(0.004)
                 status, data = await self._execute(line, body)
-                while pid in self.silent_to:
+                while pid in self.silent_to or generation != self._generation:
                     await asyncio.sleep(0.01)
                     if reader.at_eof():
                         return
