--- a/review/common/world.py
+++ b/review/common/world.py
@@ -109,14 +109,26 @@
         self.deaf_to = set()
         self.silent_to = set()
         self.daemons = {}
-        self._generation = 0
+        self.is_away = False
+        self._writes = []
         self._changed = asyncio.Event()
 
     async def serve(self, host):
         self._server = await asyncio.start_server(self._serve, host, STORE_PORT)
 
-    def silence_connections(self):
-        self._generation += 1
+    def go_back(self, copied_at):
+        """Come back from the copy of `copied_at`, a time of the record."""
+        self._writes = [write for write in self._writes if write[0] <= copied_at]
+        self.objects = {}
+        for _, _, kind, name, item in self._writes:
+            objects = self.objects.setdefault(kind, {})
+            if item is None:
+                objects.pop(name, None)
+            else:
+                objects[name] = item
+        self.revision = self._writes[-1][1]
+        self.history = [event for event in self.history if event[0] <= self.revision]
+        self.era += 1
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -140,30 +152,30 @@
 
     def _note(self, kind, item, removed):
         self.history.append((self.revision, kind, item, removed))
+        name = item["metadata"]["name"]
+        kept = None if removed else item
+        self._writes.append((self.record.now(), self.revision, kind, name, kept))
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
         ends = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
         pid = None
-        generation = self._generation
         try:
             while True:
                 line, headers, body = await read_message(reader)
                 if pid is None:
                     pid = _owner_of(*ends, list(self.daemons))
                 # A call that is sent while its way is cut does not arrive.
-                while (
-                    pid in self.deaf_to
-                    or pid in self.silent_to
-                    or generation != self._generation
-                ):
+                while pid in self.deaf_to or pid in self.silent_to:
                     await asyncio.sleep(0.01)
                     if reader.at_eof():
                         return
                 await asyncio.sleep(0.004)
+                if self.is_away:
+                    return
                 status, data = await self._execute(line, body)
-                while pid in self.silent_to or generation != self._generation:
+                while pid in self.silent_to:
                     await asyncio.sleep(0.01)
                     if reader.at_eof():
                         return
@@ -222,7 +234,10 @@
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         if since > self.revision:
             return 410, {}
+        era = self.era
         while True:
+            if era != self.era:
+                return 410, {}
             events = [
                 {"object": item, "removed": removed}
                 for revision, changed, item, removed in self.history
@@ -235,6 +250,8 @@
                 await asyncio.wait_for(self._changed.wait(), left)
             except TimeoutError:
                 continue
+            if self.is_away:
+                raise ConnectionResetError
 
 
 def _owner_of(peer, own, pids):
@@ -282,6 +299,8 @@
         self._beats = asyncio.create_task(self._beat())
 
     async def _beat(self):
+        self.publish()
+        await asyncio.sleep(random.uniform(0.0, BEAT_S))
         while True:
             if self.listed:
                 self.seq += 1
@@ -345,7 +364,7 @@
         self.world, self.name, self.zone, self.ip = world, name, zone, ip
         self.process = None
 
-    async def start(self):
+    async def start(self, bootstrap=True):
         world = self.world
         settings = {
             "nodeName": self.name, "role": "entry", "machineClass": "front",
@@ -355,7 +374,7 @@
                 "front": f"{self.ip}:{FRONT_PORT}", "ready": f"{self.ip}:{READY_PORT}",
             },
             "innerPorts": [INNER_PORT, INNER_PORT + 15], "seedNodes": [],
-            "bootstrap": True, "lossCounted": False,
+            "bootstrap": bootstrap, "lossCounted": False,
             "limits": {
                 "cpuShare": 0.537, "cpuCores": 2, "memoryMb": 300, "maxFds": 4200,
                 "linkMbps": 1000.0, "diskMb": 0,
@@ -465,20 +484,7 @@
     async def start(self, keys):
         await self.store.serve(f"{self.net}.1")
         self.store.put("config", "main", configuration(1, keys))
-        for index, zone in enumerate(ZONES):
-            replica = Replica(
-                self.store, self.record, f"i-r{index}", f"{self.net}.{201 + index}",
-                zone,
-            )  # fmt: skip
-            await replica.start()
-            self.replicas.append(replica)
-        for index in range(12):
-            other = OtherReplica(
-                self.store, self.record, f"i-d{index}", f"{self.net}.{101 + index}",
-                list(ZONES)[index % 3], service="redacteur",
-            )  # fmt: skip
-            await other.start()
-            self.others.append(other)
+        await self._start_replicas()
         number = 11
         for zone, count in ZONES.items():
             for index in range(count):
@@ -496,6 +502,22 @@
                 raise OSError(f"{daemon.name} is not ready")
         self.record("all daemons are ready")
 
+    async def _start_replicas(self):
+        for index, zone in enumerate(ZONES):
+            replica = Replica(
+                self.store, self.record, f"i-r{index}", f"{self.net}.{201 + index}",
+                zone,
+            )  # fmt: skip
+            await replica.start()
+            self.replicas.append(replica)
+        for index in range(12):
+            other = OtherReplica(
+                self.store, self.record, f"i-d{index}", f"{self.net}.{101 + index}",
+                list(ZONES)[index % 3], service="redacteur",
+            )  # fmt: skip
+            await other.start()
+            self.others.append(other)
+
     def leader(self):
         """Return the name of the daemon that the lease in the store names."""
         lease = self.store.objects.get("leases", {}).get("formation")
@@ -534,26 +556,26 @@
         self._temporary.cleanup()
 
 
-def play(folder, main, limit_s=115):
+def play(folder, main, limit_s=115, world=World):
     """Run `main(world)`, which returns what broke; exit with 1, 0 or 2."""
 
     async def run():
-        world = World(folder)
+        played = world(folder)
         try:
             async with asyncio.timeout(limit_s):
-                return world, await main(world)
+                return played, await main(played)
         finally:
-            await world.stop()
+            await played.stop()
 
     try:
-        world, broken = asyncio.run(run())
+        played, broken = asyncio.run(run())
     except Exception as error:  # the case could not run
         print(f"could not run: {error!r}")
         sys.exit(2)
     for text in broken[:20]:
-        world.record(f"BROKEN {text}")
+        played.record(f"BROKEN {text}")
         print(text)
     verdict = "broken" if broken else "kept"
-    world.record(f"the rule was {verdict}, {len(broken)} times")
+    played.record(f"the rule was {verdict}, {len(broken)} times")
     print(f"the rule was {verdict} ({len(broken)})")
     sys.exit(1 if broken else 0)
