--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -19,6 +19,20 @@
     When one attempt is made
     Then the outcome is NotRun
 
+  # Guards against: a header that is no number that Python can read costs the caller its
+  # answer.
+  Scenario Outline: A whole answer with the header "<header>" is passed on
+    Given a server whose answer has the header "<header>"
+    When one attempt is made
+    Then the outcome is Delivered
+
+    Examples:
+      | header                                      |
+      | Keep-Alive: timeout=²                       |
+      | Keep-Alive: timeout=4,400 digits            |
+      | X-Pimentogap-Replica-Load: ²,0,8            |
+      | X-Pimentogap-Replica-Load: 4,400 digits,0,8 |
+
   # Guards against: an answer whose head was cut off is passed on as a whole one.
   Scenario Outline: An answer that breaks off in <place> is lost
     Given a server that closes the connection in <place>
--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -9,6 +9,7 @@
       | what                        | status |
       | headers that are too large  | 431    |
       | a body that is too large    | 413    |
+      | a length of 30 digits       | 413    |
       | two different lengths       | 400    |
       | a length and chunks         | 400    |
       | no Host header              | 400    |
@@ -18,6 +19,20 @@
     When the front end receives a chunked body
     Then the request has the path "/look/a%20b?x=1" and the body "hello"
 
+  # Guards against: a request whose header is no number that Python can read is never
+  # answered.
+  Scenario Outline: A request that resumes after the event "<id>" is passed on
+    Given a front end with small limits
+    When a caller resumes a stream after the event "<id>"
+    Then the request is passed on as one that resumes after <known>
+
+    Examples:
+      | id           | known   |
+      | 12           | 12      |
+      | ²            | nothing |
+      | 1,900 digits | nothing |
+      | 4,400 digits | nothing |
+
   Scenario: A request is cancelled when its caller disconnects
     Given a front end with small limits
     When a caller disconnects before it gets an answer
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -104,6 +104,13 @@
     context.serve = serve_once(refusal(""))
 
 
+@given('a server whose answer has the header "{header}"')
+def given_odd_header(context, header):
+    line = header.replace("4,400 digits", "1" * 4400)
+    head = f"HTTP/1.1 200 OK\r\n{id_line('a1')}{SEAL}{line}\r\n"
+    context.serve = serve_once(f"{head}Content-Length: 2\r\n\r\nok")
+
+
 @given("a server that closes the connection in {place}")
 def given_breaking(context, place):
     context.is_stream = "stream" in place
@@ -136,7 +143,7 @@
 
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(text.encode())
+        writer.write(text.encode("latin-1"))
         await writer.drain()
         writer.close()
 
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -18,6 +18,7 @@
 REQUESTS_BY_NAME = {
     "headers that are too large": HEAD + "Big: " + "x" * 3000 + "\r\n\r\n",
     "a body that is too large": HEAD + "Content-Length: 2000\r\n\r\n" + "x" * 2000,
+    "a length of 30 digits": HEAD + f"Content-Length: {'9' * 30}\r\n\r\nx",
     "two different lengths": HEAD + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
     "a length and chunks": HEAD
     + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -41,13 +42,13 @@
     )
     requires = ()
 
-    def __init__(self, name):
+    def __init__(self, name, limits=None):
         self.name = name
         self.current = ServingConfiguration(
             version=1,
             routes=(),
             services_by_name={},
-            limits=CallerLimits(max_header_bytes=2000, max_body_bytes=1000),
+            limits=limits or CallerLimits(),
         )
         self.loaded = True
         self.in_flight = 0
@@ -80,7 +81,10 @@
 class FrontEnd:
     """An ingress on free ports, with stubs for the services that it uses."""
 
-    __slots__ = ("settings", "ingress", "forwarding", "kernel")
+    __slots__ = ("settings", "ingress", "forwarding", "kernel", "limits")
+
+    def __init__(self):
+        self.limits = CallerLimits(max_header_bytes=2000, max_body_bytes=1000)
 
     async def start(self):
         """Start the ingress and its stubs."""
@@ -100,7 +104,7 @@
         self.ingress = IngressService(self.settings, PlatformHeaders())
         for service in (
             self.forwarding,
-            Stub("serving_configuration"),
+            Stub("serving_configuration", self.limits),
             Stub("directory"),
             Stub("quarantine"),
             MetricService(),
@@ -143,6 +147,24 @@
     asyncio.run(exchange())
 
 
+@when('a caller resumes a stream after the event "{id_}"')
+def when_resuming_request_received(context, id_):
+    async def exchange():
+        front_end = context.front_end
+        await front_end.start()
+        reader, writer = await front_end.connect()
+        count, _, unit = id_.partition(" ")
+        text = "1" * int(count.replace(",", "")) if unit == "digits" else id_
+        head = f"GET /x HTTP/1.1\r\nHost: x\r\nLast-Event-Id: {text}\r\n\r\n"
+        writer.write(head.encode("latin-1"))
+        async with asyncio.timeout(5):
+            context.answer = await reader.readuntil(b"ok")
+        writer.close()
+
+    context.front_end.limits = CallerLimits(max_header_bytes=8000)
+    asyncio.run(exchange())
+
+
 @when("a caller disconnects before it gets an answer")
 def when_caller_disconnects(context):
     async def exchange():
@@ -209,6 +231,13 @@
     asyncio.run(exchange())
 
 
+@then("the request is passed on as one that resumes after {known}")
+def then_resumes(context, known):
+    (request,) = context.front_end.forwarding.requests
+    expected = None if known == "nothing" else int(known)
+    assert request.needs.last_event_id == expected, request.needs.last_event_id
+
+
 @then("the request was not passed on")
 def then_not_passed_on(context):
     assert not context.front_end.forwarding.requests
--- a/pimentogap/entry/_base.py
+++ b/pimentogap/entry/_base.py
@@ -13,7 +13,14 @@
 from pimentogap.logs import trace_id
 from pimentogap.metrics import Series
 from pimentogap.tickets import may_serve
-from pimentogap.types import HTTP_STATUS_BY_CODE, RefusalCode, RunState, not_run
+from pimentogap.types import (
+    HTTP_STATUS_BY_CODE,
+    RefusalCode,
+    RunState,
+    decimal_or_none,
+    is_above,
+    not_run,
+)
 
 log = Logger("entry")
 
@@ -47,7 +54,7 @@
             self.refuse(not_run(RefusalCode.TOO_LARGE, detail), status=431)
             return
         declared = self.request.headers.get("Content-Length", "0")
-        if declared.isdigit() and int(declared) > self.caller_settings.max_body:
+        if is_above(declared, self.caller_settings.max_body):
             self._refuse_large_body()
 
     def data_received(self, chunk):
@@ -109,10 +116,11 @@
         text = self.request.headers.get(DEADLINE_HEADER)
         if text is None:
             return self.caller_settings.default_deadline
-        if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_S * 1000:
+        deadline_ms = decimal_or_none(text)
+        if deadline_ms is None or not 0 < deadline_ms <= MAX_DEADLINE_S * 1000:
             detail = f"{DEADLINE_HEADER} is not a number of milliseconds in bounds"
             raise Refused(not_run(RefusalCode.MALFORMED, detail))
-        return int(text) / 1000
+        return deadline_ms / 1000
 
     def admitted_workspace(self):
         """Return the `Workspace` that the request names, if it admits the caller.
--- a/pimentogap/forwarding/_events.py
+++ b/pimentogap/forwarding/_events.py
@@ -1,6 +1,7 @@
 """Extracts the new complete events from the bytes of an event stream."""
 
 from pimentogap.errors import ResponseLost
+from pimentogap.types import decimal_or_none
 
 MAX_EVENT_BYTES = 2**20
 ID_FIELD = b"id:"
@@ -63,6 +64,5 @@
 def _event_id(event):
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return decimal_or_none(line[len(ID_FIELD) :].strip())
     return None
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -12,6 +12,7 @@
 from tornado.iostream import StreamClosedError
 
 from pimentogap.forwarding import CallerRequest
+from pimentogap.types import is_above
 
 log = Logger("ingress")
 
@@ -115,7 +116,7 @@
             self._refuse(BAD_REQUEST_STATUS)
         elif _header_bytes(start_line, headers) > limits.max_header_bytes:
             self._refuse(HEADERS_TOO_LARGE_STATUS)
-        elif declared.isdigit() and int(declared) > limits.max_body_bytes:
+        elif is_above(declared, limits.max_body_bytes):
             self._refuse(TOO_LARGE_STATUS)
 
     def data_received(self, chunk):
@@ -153,6 +154,18 @@
         self._service.remove_exchange(self)
 
     async def _answer(self):
+        attempt_id = self._service.codec.decode_attempt_id(self._headers)
+        try:
+            await self._service.forwarding.serve(self._request())
+        except StreamClosedError:
+            log.info("caller left", id=attempt_id)
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            log.exception("request failed", id=attempt_id)
+            self._response.abort()
+
+    def _request(self):
         headers = self._headers
         request = CallerRequest(
             method=self._start_line.method,
@@ -164,15 +177,7 @@
             received_at=self._service.now(),
         )
         request.response = self._response
-        try:
-            await self._service.forwarding.serve(request)
-        except StreamClosedError:
-            log.info("caller left", id=request.needs.attempt_id)
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            log.exception("request failed", id=request.needs.attempt_id)
-            self._response.abort()
+        return request
 
     def _should_close(self):
         """Return whether the connection closes; once true, it stays true."""
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -10,6 +10,7 @@
     NoLimit,
     RequestNeeds,
     UnreadableLimit,
+    decimal_or_none,
 )
 
 ATTEMPT_ID = "X-Pimentogap-Attempt-Id"
@@ -71,7 +72,7 @@
             deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
             key=_bearer_token(headers.get(AUTHORIZATION, "")),
             model=headers.get(MODEL, ""),
-            last_event_id=_int_or_none(headers.get(LAST_EVENT)),
+            last_event_id=decimal_or_none(headers.get(LAST_EVENT, "").strip()),
             shared_parts=_shared_parts(headers.get(PROMPT_PARTS)),
         )
 
@@ -176,10 +177,10 @@
 
 
 def _engine_load(text):
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [decimal_or_none(part.strip()) for part in (text or "").split(",")]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return EngineLoad(*(int(part) for part in parts))
+    return EngineLoad(*numbers)
 
 
 def _seconds(text):
@@ -199,11 +200,6 @@
     return NamedLimit(per_s)
 
 
-def _int_or_none(text):
-    text = (text or "").strip()
-    return int(text) if text.isdigit() else None
-
-
 def _float_or_none(text):
     try:
         return float(text) if text else None
--- a/pimentogap/streams/_events.py
+++ b/pimentogap/streams/_events.py
@@ -3,6 +3,7 @@
 import json
 
 from pimentogap.errors import ResponseLost
+from pimentogap.types import decimal_or_none
 
 SEPARATOR = b"\n\n"
 DONE = b"data: [DONE]"
@@ -36,9 +37,9 @@
     """
     if event.startswith(ID_PREFIX):
         end = event.find(b"\n")
-        number = event[len(ID_PREFIX) : end]
-        if end > 0 and number.isdigit():
-            return int(number)
+        number = decimal_or_none(event[len(ID_PREFIX) : end])
+        if end > 0 and number is not None:
+            return number
     raise ResponseLost("an event of the stream has no token offset")
 
 
--- a/pimentogap/types/__init__.py
+++ b/pimentogap/types/__init__.py
@@ -26,6 +26,7 @@
     VmState,
 )
 from pimentogap.types._http import HttpRequest, HttpResponse, TransferLimits
+from pimentogap.types._numbers import decimal_or_none, is_above
 from pimentogap.types._orders import (
     CloseGroup,
     JoinGroup,
@@ -120,6 +121,8 @@
     "VmState",
     "WeightStore",
     "Workspace",
+    "decimal_or_none",
+    "is_above",
     "key_of",
     "not_run",
 ]
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -9,6 +9,7 @@
 from tornado.iostream import StreamClosedError
 
 from pimentogap.errors import ConnectionFailed, ResponseLost, ReusedConnectionClosed
+from pimentogap.types import decimal_or_none
 from pimentogap.web._connect import connect
 
 log = Logger("web.pool")
@@ -254,6 +255,7 @@
         return 0.0
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
+        seconds = decimal_or_none(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return max(0.0, seconds - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_IDLE_LIMIT_S
