--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -5,6 +5,14 @@
     When 2 seconds pass
     Then a look-up at any daemon gets 503
 
+  # Guards against: the task that forgets unlisted backend servers ends for good at a
+  # daemon that waits for its first configuration.
+  Scenario: The tasks of a daemon outlast a start without a configuration
+    Given no configuration has been written
+    And the log is captured
+    When 15 seconds pass
+    Then no task of the daemon has failed
+
   Scenario: A key that was removed is refused within the time limit
     Given a platform with 1 fabric domains of 8 replicas and 3 daemons
     And its groups are open
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -253,6 +253,14 @@
     context.add_cleanup(context.log.pop_application)
 
 
+@then("no task of the daemon has failed")
+def then_no_task_failed(context):
+    failed = [
+        record for record in context.log.records if record.channel == "kernel.tasks"
+    ]
+    assert not failed, failed[0].formatted_exception
+
+
 @then("exactly one daemon is leader")
 def then_one_leads(context):
     leaders = context.simulation.call_in_loop(context.simulation.fleet.leader_names)
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -4,6 +4,7 @@
 
 from logbook import Logger
 
+from pimentogap.kernel import RestartOnError
 from pimentogap.placement._latency import ModelLatency
 from pimentogap.placement._loads import BackendLoad
 from pimentogap.types import Backend
@@ -75,7 +76,7 @@
         self._directory = kernel.get("directory")
         self._permits = kernel.get("permits")
         self._configuration = kernel.get("serving_configuration")
-        kernel.spawn(self.name, self._prune_unlisted)
+        kernel.spawn(self.name, self._prune_unlisted, on_error=RestartOnError())
 
     async def stop(self):
         """Do nothing; the kernel ends the task."""
@@ -161,7 +162,8 @@
 
     def _forget_models(self):
         """Forget models that the configuration does not have, which callers named."""
-        services = self._configuration.current.services_by_name
+        configuration = self._configuration.current
+        services = configuration.services_by_name if configuration else {}
         known = {
             (service.name, spec.name)
             for service in services.values()
