--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,13 +3,23 @@
 import argparse
 import sys
 
+from soak._callers import Habits
 from soak._play import FIRST_PORT, play_seed
 from soak._regression_seeds import CAUSES_BY_SEED
+from standins._stutter import COPY_NAMES
 
+SHARES = {
+    "stutter": "share of the replicas' answers that come twice",
+    "faulty": "share of their answers that break off, are spoiled or have no length",
+    "repeat": "share of the callers' requests that are sent again with the same id",
+    "leave": "share of the callers' requests that are given up early",
+}
 EPILOG = """\
 examples:
   python -m soak --seeds 50                 the kept seeds, then seeds 1 to 50
   python -m soak --seed 7 --keep run/soak   one seed; logs of daemons in that folder
+  python -m soak --stutter 0.3 --repeat 0.2 --leave 0.1
+                                            replicas that answer some requests twice
 
 exit codes:
   0  no check failed
@@ -38,9 +48,21 @@
         callers=options.callers,
         first_port=options.first_port,
         keep=options.keep,
+        stuttering=_stuttering(options),
+        habits=Habits(options.repeat, options.leave),
     )
 
 
+def _stuttering(options):
+    if not options.stutter and not options.faulty:
+        return None
+    return {
+        "share": options.stutter,
+        "faulty_share": options.faulty,
+        "copy_names": options.copy or COPY_NAMES,
+    }
+
+
 def _parser():
     parser = argparse.ArgumentParser(
         prog="python -m soak",
@@ -57,8 +79,23 @@
     parser.add_argument("--callers", type=int, default=10)
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     parser.add_argument("--keep", metavar="FOLDER", help="keep the daemons' logs there")
+    for name, meaning in SHARES.items():
+        parser.add_argument(f"--{name}", type=_share, default=0.0, help=meaning)
+    parser.add_argument(
+        "--copy",
+        action="append",
+        choices=COPY_NAMES,
+        help="when second copies come, may be repeated; default: all of them",
+    )
     return parser
 
 
+def _share(text):
+    share = float(text)
+    if not 0 <= share <= 1:
+        raise ValueError(f"{text} is no share from 0 to 1")
+    return share
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -2,18 +2,40 @@
 
 import asyncio
 import time
+from dataclasses import dataclass
 
 from standins.emulator._documents import HOST, KEY
 
 CONNECT_TIMEOUT_S = 1.0
 CHUNK_END = b"\r\n"
+STRAY_WAIT_S = 0.001
+MAX_STRAY_BYTES = 200
+LEAVING_RANGE_S = (0.005, 0.15)
+
+
+@dataclass(frozen=True, slots=True)
+class Habits:
+    """What callers do besides waiting for their answers; shares are from 0 to 1.
+
+    ``repeat_share`` of the requests that may run again are sent again with the same
+    id, to the same daemon or to another one. ``leave_share`` of the requests are given
+    up early, by closing the connection.
+    """
+
+    repeat_share: float = 0.0
+    leave_share: float = 0.0
+
+
+STAYING = Habits()
 
 
 class Attempt:
     """One request of a caller and its response; times are of the monotonic clock.
 
     ``incarnation`` tells which process of ``daemon`` was running when the request
-    was made; ``is_complete`` tells whether the whole response was received.
+    was made; ``is_complete`` tells whether the whole response was received,
+    ``has_left`` whether the caller gave it up early. ``stray`` is what had arrived
+    on the connection before the request was sent.
     """
 
     __slots__ = (
@@ -29,6 +51,8 @@
         "body",
         "is_complete",
         "error",
+        "has_left",
+        "stray",
     )
 
     def __init__(self, id_, kind, daemon, path):
@@ -44,6 +68,8 @@
         self.body = b""
         self.is_complete = False
         self.error = None
+        self.has_left = False
+        self.stray = b""
 
     def __repr__(self):
         took_s = (self.ended_at or time.monotonic()) - self.sent_at
@@ -79,13 +105,15 @@
         """Close the connection without waiting for the peer."""
         self._writer.close()
 
-    async def send(self, attempt, method, headers, deadline_s):
+    async def send(self, attempt, method, headers, deadline_s, *, leaves_after_s=None):
         """Send ``attempt`` and record its response or its error in it.
 
+        :param leaves_after_s: gives the response up after this time.
         :return: whether the connection can be used for another request.
         """
+        attempt.stray = await self._read_stray()
         try:
-            async with asyncio.timeout(deadline_s):
+            async with asyncio.timeout(leaves_after_s or deadline_s):
                 self._writer.write(_head(attempt, method, headers, deadline_s))
                 await self._writer.drain()
                 return await self._read(attempt)
@@ -93,11 +121,20 @@
             attempt.error = repr(error)
             return False
         except TimeoutError:
+            attempt.has_left = leaves_after_s is not None
             attempt.error = "no complete answer by the deadline"
             return False
         finally:
             attempt.ended_at = time.monotonic()
 
+    async def _read_stray(self):
+        """Return what has arrived though no request waits for an answer."""
+        try:
+            async with asyncio.timeout(STRAY_WAIT_S):
+                return await self._reader.read(MAX_STRAY_BYTES)
+        except (OSError, TimeoutError):
+            return b""
+
     async def _read(self, attempt):
         head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         line, *fields = head.strip().split("\r\n")
@@ -138,10 +175,18 @@
 class Callers:
     """Callers that send requests through the links and record each as an `Attempt`."""
 
-    __slots__ = ("attempts", "_daemons", "_links_by_daemon", "_random", "_ready")
+    __slots__ = (
+        "attempts",
+        "_daemons",
+        "_links_by_daemon",
+        "_random",
+        "_ready",
+        "_habits",
+    )
 
-    def __init__(self, daemons, links_by_daemon, rng):
+    def __init__(self, daemons, links_by_daemon, rng, habits):
         self.attempts = []
+        self._habits = habits
         self._daemons = daemons
         self._links_by_daemon = links_by_daemon
         self._random = rng
@@ -171,25 +216,36 @@
     async def call_repeatedly(self, pause_s):
         """Send requests until cancelled, on one connection for as long as it lasts."""
         connection = None
-        while True:
-            if connection is None:
-                connection = await self._connect()
+        try:
+            while True:
+                if connection is None:
+                    connection = await self._connect()
+                if connection is not None:
+                    connection = await self._call(connection)
+                await asyncio.sleep(self._random.uniform(0.2, 1.8) * pause_s)
+        finally:
             if connection is not None:
-                connection = await self._call(connection)
-            await asyncio.sleep(self._random.uniform(0.2, 1.8) * pause_s)
+                connection.close()
+
+    async def request_once(self, daemon, kind, path=None, *, id_=None):
+        """Send one request to ``daemon`` on a new connection; return its `Attempt`.
 
-    async def request_once(self, daemon, kind, path=None):
-        """Send one request to ``daemon`` on a new connection; return its `Attempt`."""
+        :param id_: the id of the request that is sent again.
+        """
         address = self._links_by_daemon[daemon.name].address
-        attempt, method, headers, deadline_s = self._prepare(daemon, kind, path)
+        attempt, method, headers, deadline_s = self._prepare(
+            daemon, kind, path, id_=id_
+        )
         try:
             connection = await Connection.open(daemon, address)
         except (OSError, TimeoutError) as error:
             attempt.ended_at = time.monotonic()
             attempt.error = repr(error)
             return attempt
-        await connection.send(attempt, method, headers, deadline_s)
-        connection.close()
+        try:
+            await connection.send(attempt, method, headers, deadline_s)
+        finally:
+            connection.close()
         return attempt
 
     async def _connect(self):
@@ -205,14 +261,33 @@
     async def _call(self, connection):
         kind = self._random.choices(("large", "small", "look", "book"), (3, 5, 2, 3))[0]
         attempt, method, headers, deadline_s = self._prepare(connection.daemon, kind)
-        if await connection.send(attempt, method, headers, deadline_s):
+        is_usable = await connection.send(
+            attempt, method, headers, deadline_s, leaves_after_s=self._leaving_s()
+        )
+        if kind != "book" and self._occurs(self._habits.repeat_share):
+            if not is_usable or self._occurs(0.5):
+                daemon = self._random.choice(self._daemons)
+                await self.request_once(daemon, kind, attempt.path, id_=attempt.id)
+            else:
+                again, *rest = self._prepare(connection.daemon, kind, id_=attempt.id)
+                is_usable = await connection.send(again, *rest)
+        if is_usable:
             return connection
         connection.close()
         return None
 
-    def _prepare(self, daemon, kind, path=None):
+    def _leaving_s(self):
+        """Return the seconds after which the caller leaves, ``None`` if it stays."""
+        if self._occurs(self._habits.leave_share):
+            return self._random.uniform(*LEAVING_RANGE_S)
+        return None
+
+    def _occurs(self, share):
+        return share > 0 and self._random.random() < share
+
+    def _prepare(self, daemon, kind, path=None, *, id_=None):
         """Record and return a new `Attempt`, with its method, headers and deadline."""
-        id_ = f"{self._random.getrandbits(64):016x}"
+        id_ = id_ or f"{self._random.getrandbits(64):016x}"
         headers = {}
         method, deadline_s = "GET", 2.5
         match kind:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -96,6 +96,8 @@
     for attempt in attempts:
         if attempt.is_complete or attempt.ended_at is None or attempt.id not in run_ids:
             continue
+        if attempt.has_left:
+            continue
         started_at, ended_at = attempt.sent_at - SETTLE_S, attempt.ended_at
         has_fault = injector.was_disturbed(attempt.daemon, started_at, ended_at)
         if has_fault and not injector.was_disturbed(
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -1,10 +1,12 @@
 """The emulated platform on loopback: its store, its replicas and its operator."""
 
 import asyncio
+import random
 import time
 
 from soak._links import Link
 from standins._network import SocketServer
+from standins._stutter import Stutter
 from standins.emulator import (
     ModelReplica,
     ObjectStore,
@@ -19,6 +21,7 @@
     default_routes,
     route,
 )
+from standins.stuttering import StutteringServer
 
 DOMAIN_COUNT = 3
 REPLICAS_PER_DOMAIN = 6
@@ -46,9 +49,11 @@
     """The store, the replicas and the operator, with faults of replicas.
 
     Daemons reach each replica through a `Link` at the replica's listed address.
+    ``answers`` has the `SentAnswer` of each request at a replica that stutters.
     """
 
     __slots__ = (
+        "answers",
         "store",
         "records",
         "model_replicas",
@@ -62,9 +67,19 @@
         "_servers",
         "_timers",
         "_engine",
+        "_stuttering",
+        "_seed",
     )
 
-    def __init__(self, host, first_port, *, seed):
+    def __init__(self, host, first_port, *, seed, stuttering=None):
+        """Start the store and the replicas.
+
+        :param stuttering: the options of each replica's `Stutter`; by default, none
+            of them stutters.
+        """
+        self.answers = []
+        self._stuttering = stuttering
+        self._seed = seed
         self.store = ObjectStore(seed=seed)
         self.records = Records()
         self.model_replicas = {}
@@ -180,7 +195,12 @@
 
     def _add_link(self, replica):
         """Serve a replica behind a link that listens on its listed address."""
-        link = Link(host_port(replica.address), host_port(self._start_server(replica)))
+        address = (
+            self._start_server(replica)
+            if self._stuttering is None
+            else self._start_stuttering_server(replica)
+        )
+        link = Link(host_port(replica.address), host_port(address))
         self.links_by_replica_id[replica.id] = link
 
     def _start_server(self, handler):
@@ -190,6 +210,15 @@
         self._servers.append(server)
         return address
 
+    def _start_stuttering_server(self, replica):
+        address = self._next_address()
+        rng = random.Random(f"{self._seed}-{replica.id}")
+        stutter = Stutter(rng, **self._stuttering)
+        server = StutteringServer(replica.id, replica, stutter, self.answers)
+        server.listen_on(address)
+        self._servers.append(server)
+        return address
+
     def _next_address(self):
         self._last_port += 1
         return f"{self._host}:{self._last_port}"
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -7,25 +7,50 @@
 
 import logbook
 
+from soak._callers import STAYING
 from soak._run import Soak
 
 FIRST_PORT = 24000
 MAX_SHOWN_PROBLEMS = 20
 
 
-def play_seed(seed, *, seconds, daemons, callers, first_port=FIRST_PORT, keep=None):
+def play_seed(
+    seed,
+    *,
+    seconds,
+    daemons,
+    callers,
+    first_port=FIRST_PORT,
+    keep=None,
+    stuttering=None,
+    habits=STAYING,
+):
     """Run the soak of one seed, print its problems, and return whether it passed.
 
     :param seconds: how long faults are injected.
     :param first_port: the first of the ports that the deployment uses.
     :param keep: a folder that keeps the daemons' logs, instead of a temporary one.
+    :param stuttering: the options of the replicas' `Stutter`; by default, none
+        stutters.
+    :param habits: the `Habits` of the callers.
     """
     with contextlib.ExitStack() as stack:
         stack.enter_context(logbook.NullHandler().applicationbound())
         folder = Path(keep or stack.enter_context(tempfile.TemporaryDirectory()))
         folder = folder / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
-        soak = asyncio.run(_play(folder, seed, seconds, daemons, callers, first_port))
+        soak = asyncio.run(
+            _play(
+                callers,
+                folder,
+                seed=seed,
+                seconds=seconds,
+                daemons=daemons,
+                first_port=first_port,
+                stuttering=stuttering,
+                habits=habits,
+            )
+        )
     verdict = f"{len(soak.problems)} problems" if soak.problems else "passed"
     print(
         f"soak seed {seed}: {verdict}; {len(soak.injector.spans)} disturbances;"
@@ -37,10 +62,8 @@
     return not soak.problems
 
 
-async def _play(folder, seed, seconds, daemons, callers, first_port):
-    soak = Soak(
-        folder, seed=seed, seconds=seconds, daemons=daemons, first_port=first_port
-    )
+async def _play(callers, folder, *, seconds, **options):
+    soak = Soak(folder, seconds=seconds, **options)
     await soak.play(callers=callers, seconds=seconds)
     return soak
 
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -5,7 +5,8 @@
 import time
 from pathlib import Path
 
-from soak._callers import Callers
+from soak._answers import check_sent_answers
+from soak._callers import STAYING, Callers
 from soak._checks import (
     VersionWatch,
     check_answer,
@@ -17,7 +18,7 @@
     check_times,
 )
 from soak._daemons import DaemonProcess
-from soak._faults import Injector, schedule
+from soak._faults import Injector, Scope, schedule
 from soak._links import Link
 from soak._platform import ZONES, Platform, host_port
 
@@ -29,6 +30,8 @@
 # A wake-up later than this counts as a stall of the whole machine.
 LAG_THRESHOLD_S = 0.25
 CALLER_PAUSE_S = 0.15
+# Plain replicas that stutter also fail this share of their requests.
+STUTTERING_ERROR_SHARE = 0.3
 STORE_LINK_PORT_OFFSET = 190
 PORTS_PER_DAEMON = 10
 
@@ -49,11 +52,27 @@
         "_faults",
     )
 
-    def __init__(self, folder, *, seed, seconds, daemons, first_port):
+    def __init__(
+        self,
+        folder,
+        *,
+        seed,
+        seconds,
+        daemons,
+        first_port,
+        stuttering=None,
+        habits=STAYING,
+    ):
+        """Prepare the soak of ``seed``.
+
+        :param stuttering: the options of the replicas' `Stutter`; by default, none
+            stutters.
+        :param habits: the `Habits` of the callers.
+        """
         rng = self._random = random.Random(seed)
         host = f"127.0.{first_port // 100 % 200 + 1}.1"
         self.folder = Path(folder)
-        self.platform = Platform(host, first_port, seed=seed)
+        self.platform = Platform(host, first_port, seed=seed, stuttering=stuttering)
         self.problems = []
         self._tasks = []
         caller_links = []
@@ -81,8 +100,14 @@
         }
         names = [daemon.name for daemon in self.daemons]
         links_by_name = dict(zip(names, caller_links, strict=True))
-        self.callers = Callers(self.daemons, links_by_name, random.Random(rng.random()))
+        self.callers = Callers(
+            self.daemons, links_by_name, random.Random(rng.random()), habits
+        )
         self.injector = Injector(self.platform, self.daemons, self._links, rng)
+        if stuttering is not None:
+            self.injector.begin_span("stuttering replicas", scope=Scope.REPLICA)
+            for replica in self.platform.plain_replicas.values():
+                replica.error_share = STUTTERING_ERROR_SHARE
         replica_count = len(self.platform.model_replicas)
         self._faults = schedule(rng, seconds, daemons=daemons, replicas=replica_count)
 
@@ -161,6 +186,8 @@
     def _run_checks(self):
         attempts, records = self.callers.attempts, self.platform.records
         self.problems += [p for a in attempts if (p := check_answer(a))]
+        if self.platform.answers:
+            self.problems += check_sent_answers(attempts, self.platform.answers)
         self.problems += check_runs(attempts, records)
         self.problems += check_groups(records)
         self.problems += check_times(attempts, self.injector)
