--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -200,7 +200,7 @@
         failures_by_name = {daemon.name: 0 for daemon in self._daemons}
         while True:
             for daemon in self._daemons:
-                if await _is_ready(daemon):
+                if await is_ready(daemon):
                     failures_by_name[daemon.name] = 0
                     self._ready.add(daemon.name)
                 else:
@@ -304,7 +304,8 @@
         return attempt, method, headers, deadline_s
 
 
-async def _is_ready(daemon):
+async def is_ready(daemon):
+    """Return whether ``daemon`` answers its readiness check with 200."""
     try:
         async with asyncio.timeout(0.5):
             reader, writer = await asyncio.open_connection(*daemon.readiness_address)
