--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -35,11 +35,12 @@
         "stopping_since",
         "_process",
         "_folder",
+        "_document",
         "_paused",
     )
 
     def __init__(self, name, ip, folder, *, zone, first_port, store):
-        """Write the settings file to ``folder``, which also gets the daemon's log.
+        """Prepare the settings; ``folder`` gets their file and the daemon's log.
 
         :param first_port: the port for callers; the next one is for readiness checks.
         :param store: the ``host:port`` at which the daemon reaches the store.
@@ -55,17 +56,21 @@
         self._process = None
         self._folder = Path(folder)
         self._paused = False
-        document = settings_document(
+        self._document = settings_document(
             name, zone=zone, ip=ip, first_port=first_port, store=store
         )
-        text = yaml.safe_dump(document)
-        (self._folder / f"{name}.yaml").write_text(text, encoding="utf-8")
 
     def start(self):
-        """Start the process and append its output to the daemon's log file."""
+        """Start the process and append its output to the daemon's log file.
+
+        Only the first start is one of the whole system, and the settings say so.
+        """
+        self._document["bootstrap"] = self.start_count == 0
+        settings_path = self._folder / f"{self.name}.yaml"
+        settings_path.write_text(yaml.safe_dump(self._document), encoding="utf-8")
         environment = {
             **os.environ,
-            "PIMENTOGAP_CONFIG": str(self._folder / f"{self.name}.yaml"),
+            "PIMENTOGAP_CONFIG": str(settings_path),
         }
         with open(self._folder / f"{self.name}.log", "ab") as log:
             self._process = subprocess.Popen(
