--- a/soak/served.py
+++ b/soak/served.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -18,6 +19,7 @@
 
 FIRST_PORT = 38000
 EXIT_SETTINGS = 2
+EXIT_INTERRUPTED = 130
 EPILOG = """\
 examples:
   python -m soak.served                                   undisturbed, eight daemons
@@ -29,6 +31,7 @@
   0  each run kept the bounds
   1  a bound was broken; each problem is printed
   2  the shape or a trouble is wrong; nothing was started
+  130  interrupted by SIGINT or SIGTERM
 """
 
 
@@ -57,10 +60,17 @@
         expected = ", ".join(known)
         print(f"trouble {sorted(unknown)}: expected {expected}", file=sys.stderr)
         return EXIT_SETTINGS
+    # Ends the processes of the run, as an interrupt does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     with contextlib.ExitStack() as stack:
         stack.enter_context(logbook.NullHandler().applicationbound())
         keep = options.keep or stack.enter_context(tempfile.TemporaryDirectory())
-        return _play_all(plays, shape, options, Path(keep))
+        try:
+            return _play_all(plays, shape, options, Path(keep))
+        except KeyboardInterrupt:
+            print("interrupted; every process of the run has ended", file=sys.stderr)
+            return EXIT_INTERRUPTED
 
 
 def _play_all(plays, shape, options, keep):
