--- a/pimentogap/directory/_daemons.py
+++ b/pimentogap/directory/_daemons.py
@@ -99,6 +99,11 @@
         """
         return () if self.is_relay() else self._relay_addresses
 
+    @property
+    def all_relay_addresses(self):
+        """The addresses of all relays, those of the own availability zone first."""
+        return self._relay_addresses
+
     def version_of(self, id_):
         """Return the version of a daemon's object, or 0 if it is not listed."""
         stored = self._stored_by_id.get(id_)
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -8,14 +8,14 @@
 
 from pimentogap.directory._copies import CopyGuard, later_view
 from pimentogap.directory._groups import build_group_views
+from pimentogap.relay import REREGISTRATION_S
 from pimentogap.store import Revision
 from pimentogap.types import BackendState, MemberState
 
 log = Logger("directory")
 
-# Live backend servers whose entries expired during a store outage have written
-# them again within this time after it.
-REREGISTRATION_GRACE_S = 2.5
+# What a daemon knew holds this long against a copy from which the store came back.
+COPY_DOUBT_S = 2.5
 # A backend server that cannot reach the store stays a member of its group for this
 # long after its entry expired, unless the leader finds out that it is lost.
 ABSENCE_LIMIT_S = 12.0
@@ -24,11 +24,6 @@
 # because a copy of the list has it, unless it writes its entry again. By then the entry
 # has expired if nobody writes it.
 GHOST_LIMIT_S = 10.0
-# A larger share of the entries disappears at once only because of a store outage,
-# even if no call of this daemon failed; a lost fabric domain is a smaller share.
-MASS_REMOVAL_SHARE = 0.34
-
-
 # Ids in the log line of a change that the leader logs in full.
 MAX_LOGGED_IDS = 5
 MAX_LOGGED_CHARS = 100
@@ -44,7 +39,7 @@
     gets no requests.
 
     A store that went back lists entries as they were before. What this daemon knew is
-    newer: it holds until the entry is written again, or for `REREGISTRATION_GRACE_S`,
+    newer: it holds until the entry is written again, or for `COPY_DOUBT_S`,
     and a server that is gone stays gone for `GHOST_LIMIT_S`.
     """
 
@@ -64,7 +59,7 @@
         "_heads_by_service_and_model",
         "_plain_backends_by_service",
         "_indexed_configuration",
-        "_deferred_removal_ids",
+        "_deferred_by_id",
         "_copies",
     )
 
@@ -88,7 +83,7 @@
         self._heads_by_service_and_model = {}
         self._plain_backends_by_service = {}
         self._indexed_configuration = None
-        self._deferred_removal_ids = set()
+        self._deferred_by_id = {}
         self._copies = CopyGuard()
 
     async def start(self, kernel):
@@ -140,13 +135,10 @@
                 self._merge_entry(after, before, change.stored)
         if went_back:
             self._defer_copies(before, after)
-        missing = before.keys() - after.keys()
-        if (
-            went_back
-            or update.since_outage_s < REREGISTRATION_GRACE_S
-            or (len(missing) > len(before) * MASS_REMOVAL_SHARE)
-        ):
-            self._defer_removals(missing, after, before)
+        if update.store_contact_s < REREGISTRATION_S:
+            self._defer_removals(before, after, update.store_contact_s)
+        else:
+            self._end_deferrals(after)
         self.revision = update.revision
         self.loaded = True
         self._replace(before, after, update.revision)
@@ -160,10 +152,10 @@
 
     async def _adopt_copies(self, copies_by_id):
         """Believe the copies that have not been written again meanwhile."""
-        await self._kernel.clock.sleep(REREGISTRATION_GRACE_S)
+        await self._kernel.clock.sleep(COPY_DOUBT_S)
         known_ids = copies_by_id.keys() & self.backends_by_id.keys()
         self._adopt({id_: copies_by_id[id_] for id_ in known_ids})
-        await self._kernel.clock.sleep(GHOST_LIMIT_S - REREGISTRATION_GRACE_S)
+        await self._kernel.clock.sleep(GHOST_LIMIT_S - COPY_DOUBT_S)
         self._adopt(copies_by_id)
 
     def _adopt(self, copies_by_id):
@@ -204,28 +196,51 @@
             del self.absent_by_id[backend.id]
             self.invalidate()
 
-    def _defer_removals(self, missing, after, before):
-        """Keep ``missing`` entries for up to `REREGISTRATION_GRACE_S` seconds.
+    def _defer_removals(self, before, after, store_contact_s):
+        """Keep entries that may have expired while the store was away.
+
+        They go when live servers have had the time to write them again.
 
-        They may only have expired in a store outage.
+        :param store_contact_s: the seconds for which the store has answered.
         """
-        if not missing:
+        deferred_by_id = {
+            id_: before[id_]
+            for id_ in before.keys() - after.keys() - self._deferred_by_id.keys()
+        }
+        after.update(
+            (id_, before[id_]) for id_ in self._deferred_by_id if id_ in before
+        )
+        if not deferred_by_id:
             return
-        log.info("removal of backends deferred", count=len(missing), rev=self.revision)
-        after.update((id_, before[id_]) for id_ in missing)
-        if not self._deferred_removal_ids:
-            self._kernel.spawn(self.name, self._remove_deferred)
-        self._deferred_removal_ids |= missing
-
-    async def _remove_deferred(self):
-        await self._kernel.clock.sleep(REREGISTRATION_GRACE_S)
-        before = self.backends_by_id
-        after = {
-            id_: backend
-            for id_, backend in before.items()
-            if id_ not in self._deferred_removal_ids
+        wait_s = REREGISTRATION_S - store_contact_s
+        log.info(
+            "removal of backends deferred",
+            count=len(deferred_by_id),
+            first=sorted(deferred_by_id)[:MAX_LOGGED_IDS],
+            seconds=round(wait_s, 3),
+            rev=self.revision,
+        )
+        after.update(deferred_by_id)
+        self._deferred_by_id.update(deferred_by_id)
+        self._kernel.spawn(self.name, self._remove_deferred, deferred_by_id, wait_s)
+
+    def _end_deferrals(self, after):
+        """Remove what was kept, now that the store is known not to have been away."""
+        for id_ in self._deferred_by_id:
+            after.pop(id_, None)
+        self._deferred_by_id.clear()
+
+    async def _remove_deferred(self, deferred_by_id, wait_s):
+        await self._kernel.clock.sleep(wait_s)
+        gone = {
+            id_
+            for id_, backend in deferred_by_id.items()
+            if self._deferred_by_id.get(id_) is backend
         }
-        self._deferred_removal_ids.clear()
+        for id_ in gone:
+            del self._deferred_by_id[id_]
+        before = self.backends_by_id
+        after = {id_: item for id_, item in before.items() if id_ not in gone}
         self._replace(before, after, self.revision)
 
     def invalidate(self):
@@ -248,7 +263,7 @@
             if stored.name in before:
                 after[stored.name] = before[stored.name]
             return
-        self._deferred_removal_ids.discard(stored.name)
+        self._deferred_by_id.pop(stored.name, None)
         self._copies.forget_copy(stored.name)
         after[stored.name] = later_view(before.get(stored.name), backend)
 
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -41,7 +41,7 @@
     load_platform_settings,
 )
 from pimentogap.quarantine import QuarantineService
-from pimentogap.relay import RelayService
+from pimentogap.relay import RelayService, StoreContactService
 from pimentogap.store import StoreClient
 from pimentogap.web import BackendPool, HttpClient
 
@@ -124,6 +124,7 @@
         ),
         DirectoryService(BACKEND_COLLECTION, decode_backend),
         DaemonsService(settings),
+        StoreContactService(),
         RelayService(first_start=settings.first_start),
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PermitService(),
--- a/pimentogap/relay/_changes.py
+++ b/pimentogap/relay/_changes.py
@@ -6,8 +6,6 @@
 from pimentogap.store import Change, Revision, Stored
 
 MAX_CHANGES = 1000
-# JSON has no infinity; an hour is far beyond any grace period after an outage.
-MAX_SINCE_OUTAGE_S = 3600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,16 +13,15 @@
     """The result of one read of a collection.
 
     It holds all ``objects`` if ``is_snapshot``, else the ``changes`` since the
-    previous read. ``since_outage_s`` is the time in seconds since the store
-    recovered from its last outage; without an outage it is infinite, or
-    `MAX_SINCE_OUTAGE_S` from a relay.
+    previous read. ``store_contact_s`` is the time in seconds for which the store is
+    known to have answered without a gap.
     """
 
     is_snapshot: bool
     changes: tuple
     objects: tuple
     revision: int
-    since_outage_s: float
+    store_contact_s: float
 
 
 class ChangeLog:
@@ -56,6 +53,15 @@
         """Return every current `Stored` object."""
         return tuple(self._stored_by_name.values())
 
+    def removes(self, update):
+        """Return whether ``update`` removes an object that is known here."""
+        if any(change.removed for change in update.changes):
+            return True
+        if not update.is_snapshot:
+            return False
+        listed = {stored.name for stored in update.objects}
+        return not listed.issuperset(self._stored_by_name)
+
     def _replace(self, update):
         if self.revision == 0:
             self._complete_since = update.revision
@@ -88,7 +94,7 @@
         ],
         "objects": [[s.name, s.version, s.value] for s in update.objects],
         "revision": update.revision,
-        "regained_s": min(update.since_outage_s, MAX_SINCE_OUTAGE_S),
+        "regained_s": update.store_contact_s,
     }
 
 
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from dataclasses import replace
 
 from logbook import Logger
 
@@ -14,6 +15,8 @@
 )
 from pimentogap.kernel import RestartOnError
 from pimentogap.relay._changes import ChangeLog, CollectionUpdate, dump, load
+from pimentogap.relay._contact import REREGISTRATION_S
+from pimentogap.store import Revision
 
 log = Logger("relay")
 
@@ -73,6 +76,7 @@
         "reads_store",
         "confirmed_at",
         "read_began_at",
+        "store_answers_since",
         "watch_wait_s",
         "answers_by_since",
         "answers_until",
@@ -89,6 +93,7 @@
         self.reads_store = False
         self.confirmed_at = -math.inf
         self.read_began_at = -math.inf
+        self.store_answers_since = math.inf
         self.answers_by_since = {}
         self.answers_until = 0.0
 
@@ -106,10 +111,11 @@
     """
 
     name = "relay"
-    requires = ("store", "calls", "daemons")
+    requires = ("store", "calls", "daemons", "store_contact")
     __slots__ = (
         "_kernel",
         "_store",
+        "_contact",
         "_calls",
         "_daemons",
         "_subscriptions_by_collection",
@@ -130,6 +136,7 @@
         self._news_needed_since = -math.inf
         self._kernel = None
         self._store = None
+        self._contact = None
         self._calls = None
         self._daemons = None
         self._subscriptions_by_collection = {}
@@ -138,6 +145,7 @@
         """Register the call by which other daemons read changes."""
         self._kernel = kernel
         self._store = kernel.get("store")
+        self._contact = kernel.get("store_contact")
         self._calls = kernel.get("calls")
         self._daemons = kernel.get("daemons")
         self._calls.register(CHANGES_CALL, self._answer_changes)
@@ -192,9 +200,11 @@
             try:
                 began_at = clock.time()
                 update = await self._read(subscription, revision)
+                update = await self._with_store_contact(subscription, update)
                 revision = update.revision
                 subscription.confirmed_at = clock.time()
                 subscription.read_began_at = began_at
+                subscription.store_answers_since = clock.time() - update.store_contact_s
                 self._apply(subscription, update)
                 delay_s = RETRY_DELAY_S
                 await clock.sleep(
@@ -274,8 +284,8 @@
         objects, revision = await self._store.list(
             self._daemons.collection, stale=stale
         )
-        since_outage_s = self._since_outage_s()
-        return CollectionUpdate(True, (), tuple(objects), revision, since_outage_s)
+        contact_s = self._store.answering_s()
+        return CollectionUpdate(True, (), tuple(objects), revision, contact_s)
 
     def _drop_relay(self, subscription, address, revision, error):
         """Leave a failed relay out for a while; the store is read in its place."""
@@ -296,13 +306,22 @@
     async def _read_store(self, collection, revision, wait_s):
         if revision is None:
             objects, revision = await self._store.list(collection)
-            return CollectionUpdate(
-                True, (), tuple(objects), revision, self._since_outage_s()
-            )
+            contact_s = self._store.answering_s()
+            return CollectionUpdate(True, (), tuple(objects), revision, contact_s)
         page = await self._store.watch(collection, revision, wait_s)
-        return CollectionUpdate(
-            False, page.items, (), page.revision, self._since_outage_s()
-        )
+        contact_s = self._store.answering_s()
+        return CollectionUpdate(False, page.items, (), page.revision, contact_s)
+
+    async def _with_store_contact(self, subscription, update):
+        """Return ``update`` with the longest time for which the store has answered.
+
+        Other daemons are asked only about a removal that may be an entry's expiry.
+        """
+        era = Revision(update.revision).era
+        contact_s = max(update.store_contact_s, self._contact.own_s(era))
+        if contact_s < REREGISTRATION_S and subscription.changes.removes(update):
+            contact_s = max(contact_s, await self._contact.others_s(era))
+        return replace(update, store_contact_s=contact_s)
 
     async def _read_relay(self, address, subscription, revision):
         is_relay = self._daemons.is_relay()
@@ -330,7 +349,7 @@
             # Its last read of the store was earlier than the one that this daemon's
             # copy comes from. The revision grows with changes of other collections
             # too, so it need not miss anything.
-            return CollectionUpdate(False, (), (), revision, update.since_outage_s)
+            return CollectionUpdate(False, (), (), revision, update.store_contact_s)
         return update
 
     def _apply(self, subscription, update):
@@ -417,19 +436,18 @@
         key = (since, subscription.changes.revision)
         answer = subscription.answers_by_since.get(key)
         if answer is None:
-            update = self._update_since(subscription.changes, since)
+            update = self._update_since(subscription, since)
             answer = subscription.answers_by_since[key] = SharedAnswer(dump(update))
         return answer
 
-    def _update_since(self, changes, since):
+    def _update_since(self, subscription, since):
+        changes = subscription.changes
+        contact_s = self._kernel.clock.time() - subscription.store_answers_since
         known = changes.after(since)
         if known is None:
-            return CollectionUpdate(
-                True, (), changes.objects(), changes.revision, self._since_outage_s()
-            )
-        return CollectionUpdate(
-            False, known, (), changes.revision, self._since_outage_s()
-        )
+            objects = changes.objects()
+            return CollectionUpdate(True, (), objects, changes.revision, contact_s)
+        return CollectionUpdate(False, known, (), changes.revision, contact_s)
 
     def _remaining_freshness_s(self, subscription):
         """Return for how many seconds this daemon's data still counts as fresh.
@@ -442,9 +460,6 @@
             confirmed_at = max(confirmed_at, self._store.last_answer_at)
         return confirmed_at + FRESHNESS_LIMIT_S - self._kernel.clock.time()
 
-    def _since_outage_s(self):
-        return self._kernel.clock.time() - self._store.outage_ended_at
-
     def _is_leader(self):
         lease = self._kernel.find("lease")
         return lease is not None and lease.is_held()
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -30,8 +30,11 @@
 # No further attempt of a read starts after this time; the last one may end later.
 # The same holds for each `WRITE_RETRY_LIMIT_S` that is passed to `StoreClient.write`.
 READ_RETRY_LIMIT_S = 3.0
-# Calls that fail for less than this are no outage: no entry expires meanwhile.
+# Calls that fail for less than this are no outage.
 MIN_OUTAGE_S = 1.5
+# No entry expires between two answers that are no further apart than this, since its
+# server writes it more than once meanwhile.
+MAX_ANSWER_GAP_S = 2.0
 OBJECTS_PER_PAGE = 500
 
 
@@ -65,8 +68,7 @@
     """Calls the platform's object API with deadlines, jittered retries and a breaker.
 
     ``calls_by_kind`` counts every attempt of a call, watches included, by the name
-    of its class. ``last_answer_at`` is the time of the last successful call.
-    ``outage_ended_at`` is the time of the first one after the last outage. ``era`` is
+    of its class. ``last_answer_at`` is the time of the last successful call. ``era`` is
     that of the store's answers, which rises when the store has gone back to a copy.
     """
 
@@ -81,7 +83,7 @@
         "_timeout_s",
         "_vm_list",
         "_failing_since",
-        "outage_ended_at",
+        "_answering_since",
         "era",
     )
 
@@ -99,7 +101,7 @@
         self.last_answer_at = -math.inf
         self._vm_list = VmList("", ())
         self._failing_since = None
-        self.outage_ended_at = -math.inf
+        self._answering_since = math.inf
         self.era = 0
 
     async def start(self, kernel):
@@ -110,6 +112,16 @@
     async def stop(self):
         """Do nothing; calls in progress belong to their callers."""
 
+    def answering_s(self):
+        """Return for how long the store has answered calls without a gap, in seconds.
+
+        A gap is longer than `MAX_ANSWER_GAP_S`, or one in which the store went back.
+        """
+        now = self._kernel.clock.time()
+        if now - self.last_answer_at > MAX_ANSWER_GAP_S:
+            return 0.0
+        return max(0.0, now - self._answering_since)
+
     async def get(self, collection, name, *, stale=False):
         """Return the `Stored` object, or ``None`` if there is none.
 
@@ -242,17 +254,18 @@
             log.notice("store era", era=era, before=self.era)
             if self.era:
                 # Entries that were written since the copy are not back yet.
-                self.outage_ended_at = self._kernel.clock.time()
+                self._answering_since = self._kernel.clock.time()
             self.era = era
 
     def _record_answer(self, now):
+        if now - self.last_answer_at > MAX_ANSWER_GAP_S:
+            self._answering_since = now
         self.last_answer_at = now
         if self._failing_since is None:
             return
         away_s = now - self._failing_since
         self._failing_since = None
         if away_s >= MIN_OUTAGE_S:
-            self.outage_ended_at = now
             log.notice("store regained", away_s=round(away_s, 3))
 
     def _backoff(self, attempt):
