--- a/features/platform/connections.feature
+++ b/features/platform/connections.feature
@@ -24,3 +24,15 @@
     Given an address on which no server listens
     When a request is sent
     Then nothing was sent
+
+  # Guards against: a request is sent to a server that was told to leave while the
+  # connection opened (DRAIN).
+  Scenario Outline: Nothing is sent on a <which> connection to a server that no longer takes requests
+    Given a server that counts the requests it gets
+    When <sent> requests are sent and one more is withheld
+    Then the last request was withheld, and the server got <sent>
+
+    Examples:
+      | which | sent |
+      | new   | 0    |
+      | kept  | 1    |
--- a/features/platform/drains.feature
+++ b/features/platform/drains.feature
@@ -61,3 +61,35 @@
       | 4    | 0.5  |
       | 4    | 1.2  |
       | 9    | 1.2  |
+
+  # Guards against: a request is sent to the backend server that was chosen for it, although
+  # it has been told to leave while the request waited (DRAIN).
+  Scenario Outline: A request that waits for <what> does not reach a replica that leaves meanwhile
+    Given a platform with 3 plain replicas alone and 3 daemons
+    When a booking for plain replica 0 waits at the leader for <what>
+    And plain replica 0 <leaves>
+    And the booking waits no longer after 0.35 seconds
+    And 1 seconds pass
+    Then plain replica 0 has run nothing
+    And the booking was answered
+
+    Examples:
+      | what         | leaves                         |
+      | a connection | reports that it is draining    |
+      | a connection | says to another that it leaves |
+      | a connection | is removed from the list       |
+      | a permit     | reports that it is draining    |
+      | a permit     | is removed from the list       |
+
+  # Guards against: a paused process goes on with a send that it had prepared.
+  Scenario: A request that was about to be sent before a pause waits for news after it
+    Given a platform with 3 plain replicas alone and 4 daemons
+    When a daemon other than the leader hears nothing, and version 2 removes every key
+    And it has a booking for plain replica 0, which waits for a connection
+    And plain replica 0 is removed from the list
+    And 0.3 seconds pass
+    And its process turns out to have been paused for 5 seconds
+    And it hears the others again after 0.2 seconds
+    And 1 seconds pass
+    Then plain replica 0 has run nothing
+    And the booking was answered
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -6,7 +6,12 @@
 
 from behave import given, then, when
 
-from pimentogap.errors import ConnectionFailed, ResponseLost, ReusedConnectionClosed
+from pimentogap.errors import (
+    ConnectionFailed,
+    ResponseLost,
+    ReusedConnectionClosed,
+    SendWithheld,
+)
 from pimentogap.web import BackendPool
 
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -114,10 +119,11 @@
     context.results = asyncio.run(exchange(context.serve, ["a1", "a2"]))
 
 
-async def exchange(serve, ids):
+async def exchange(serve, ids, permissions=None):
     """Send a request for each of ``ids``; return a body or an error for each.
 
     :param serve: handles a connection at the server; None if no server listens.
+    :param permissions: for each request whether it may be sent; all may by default.
     """
     server = await asyncio.start_server(serve or answer_twice, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
@@ -126,7 +132,7 @@
         await server.wait_closed()
     pool = BackendPool()
     results = []
-    for attempt_id in ids:
+    for attempt_id, may_send in zip(ids, permissions or [True] * len(ids), strict=True):
         receiver = AnswerReceiver(attempt_id)
         try:
             await pool.exchange(
@@ -138,9 +144,10 @@
                 receiver,
                 fresh=False,
                 connect_s=1.0,
+                may_send=lambda may_send=may_send: may_send,
             )
             results.append(receiver.body)
-        except (ConnectionFailed, ResponseLost) as error:
+        except (ConnectionFailed, ResponseLost, SendWithheld) as error:
             results.append(error)
     pool.close()
     server.close()
@@ -171,3 +178,31 @@
 @then("nothing was sent")
 def then_nothing_sent(context):
     assert isinstance(context.results[0], ConnectionFailed), context.results
+
+
+@given("a server that counts the requests it gets")
+def given_counting_server(context):
+    context.received = []
+
+    async def serve(reader, writer):
+        try:
+            while True:
+                context.received.append(await read_request(reader))
+                writer.write(answer("a1", "counted"))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    context.serve = serve
+
+
+@when("{count:d} requests are sent and one more is withheld")
+def when_withheld(context, count):
+    permissions = [True] * count + [False]
+    ids = ["a1"] * len(permissions)
+    context.results = asyncio.run(exchange(context.serve, ids, permissions))
+
+
+@then("the last request was withheld, and the server got {count:d}")
+def then_withheld(context, count):
+    assert isinstance(context.results[-1], SendWithheld), context.results
+    assert len(context.received) == count, context.received
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -1,13 +1,17 @@
 """Steps for backend servers that leave."""
 
 import asyncio
+import math
 
 from behave import given, then, when
 
 from features.steps.daemon_steps import leader_and_others
+from features.steps.platform_steps import start_request
+from pimentogap.permits._known import BackendLimit
 from standins.emulator import EmulatedFleet
 
 START_S = 4.0
+CONNECT_S = 0.36
 
 
 @given(
@@ -145,3 +149,102 @@
     due = [request for request in context.lookups if request.sent_at < now - 1.0]
     failed = [request.response.status for request in due]
     assert due and set(failed) == {200}, {s: failed.count(s) for s in set(failed)}
+
+
+@when("a booking for plain replica 0 waits at the leader for a connection")
+def when_waits_for_connection(context):
+    leader, _ = leader_and_others(context)
+    _start_waiting(context, leader)
+
+
+@when("it has a booking for plain replica 0, which waits for a connection")
+def when_paused_waits(context):
+    _start_waiting(context, context.paused)
+
+
+def _start_waiting(context, daemon):
+    """Have ``daemon`` choose plain replica 0, to which no connection opens yet."""
+    fleet = context.simulation.fleet
+    fleet.network.connect_delays_s_by_address["p-0:80"] = CONNECT_S
+    _exclude_others(context, daemon, True)
+    context.waiting = start_request(context, "POST", "/book/x", daemon=daemon)
+    context.simulation.wait(0.01)
+    _exclude_others(context, daemon, False)
+
+
+def _exclude_others(context, daemon, quiet):
+    """Let ``daemon`` send plain replicas 1 and 2 nothing, or end that."""
+    kernel = context.simulation.fleet.kernels_by_name[daemon]
+    backends_by_id = kernel.get("directory").backends_by_id
+    for id_ in ("p-1", "p-2"):
+        kernel.get("placement").load(backends_by_id[id_])._quiet_until = (
+            math.inf if quiet else -math.inf
+        )
+
+
+@when("a booking for plain replica 0 waits at the leader for a permit")
+def when_waits_for_permit(context):
+    leader, _ = leader_and_others(context)
+    kernel = context.simulation.fleet.kernels_by_name[leader]
+    permits = kernel.get("permits")
+    backend = kernel.get("directory").backends_by_id["p-0"]
+
+    def name_limit():
+        permits.report_limit(backend, BackendLimit(backend.incarnation, 50.0))
+        return permits._book(backend)
+
+    context.permit_book = context.simulation.call_in_loop(name_limit)
+    context.simulation.run(context.permit_book.lock.acquire())
+    _start_waiting(context, leader)
+    context.simulation.fleet.network.connect_delays_s_by_address.clear()
+
+
+@when("plain replica 0 reports that it is draining")
+def when_reports(context):
+    replica = context.simulation.fleet.plain_replicas_by_id["p-0"]
+    context.simulation.call_in_loop(lambda: replica.publish("draining"))
+
+
+@when("plain replica 0 is removed from the list")
+def when_removed_from_list(context):
+    store = context.simulation.fleet.store
+    context.simulation.call_in_loop(lambda: store.remove("servers", "p-0"))
+
+
+@when("plain replica 0 says to another that it leaves")
+def when_says_to_another(context):
+    """Have another answer of the replica to the same daemon say that it leaves."""
+    leader, _ = leader_and_others(context)
+    directory = context.simulation.fleet.kernels_by_name[leader].get("directory")
+    backend = directory.backends_by_id["p-0"]
+    context.simulation.call_in_loop(lambda: directory.record_leaving(backend))
+
+
+@when("the booking waits no longer after {seconds:g} seconds")
+def when_waits_no_longer(context, seconds):
+    context.simulation.wait(seconds)
+    book = getattr(context, "permit_book", None)
+    if book is not None:
+        context.simulation.call_in_loop(lambda: _give_permit(book))
+
+
+def _give_permit(book):
+    book.add(1, asyncio.get_running_loop().time())
+    book.lock.release()
+
+
+@when("its process turns out to have been paused for {seconds:g} seconds")
+def when_was_paused(context, seconds):
+    kernel = context.simulation.fleet.kernels_by_name[context.paused]
+    kernel.get("pauses")._ticked_at -= seconds
+
+
+@then("plain replica 0 has run nothing")
+def then_ran_nothing(context):
+    runs = context.simulation.fleet.records.runs
+    assert not [run for run in runs if run.replica == "p-0"], runs
+
+
+@then("the booking was answered")
+def then_booking_answered(context):
+    assert context.waiting.response.status == 200, context.waiting.response.status
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -58,6 +58,7 @@
         "_configuration",
         "_heads_by_service_and_model",
         "_plain_backends_by_service",
+        "_available_by_id",
         "_indexed_configuration",
         "_deferred_by_id",
         "_copies",
@@ -82,6 +83,7 @@
         self._configuration = None
         self._heads_by_service_and_model = {}
         self._plain_backends_by_service = {}
+        self._available_by_id = {}
         self._indexed_configuration = None
         self._deferred_by_id = {}
         self._copies = CopyGuard()
@@ -105,6 +107,15 @@
         self._rebuild_index()
         return self._heads_by_service_and_model.get((service, model), ())
 
+    def takes_requests(self, backend):
+        """Return whether ``backend`` may get requests still.
+
+        It may not if it has started again or joined another group.
+        """
+        self._rebuild_index()
+        available = self._available_by_id.get(backend.id)
+        return available is not None and _identity(available) == _identity(backend)
+
     def record_leaving(self, backend):
         """Record that ``backend`` has said that it leaves, whatever the list says."""
         known = self.backends_by_id.get(backend.id)
@@ -346,9 +357,20 @@
                 heads.setdefault(key, []).append(backend)
         self._heads_by_service_and_model = heads
         self._plain_backends_by_service = plain
+        self._available_by_id = {
+            backend.id: backend
+            for backends in (*heads.values(), *plain.values())
+            for backend in backends
+        }
         self._indexed_configuration = configuration
 
 
+def _identity(backend):
+    membership = backend.membership
+    group = (membership.group, membership.epoch) if membership is not None else None
+    return backend.incarnation, backend.address, group
+
+
 def _group_size(engine, model):
     for spec in engine.models:
         if spec.name == model:
--- a/pimentogap/errors.py
+++ b/pimentogap/errors.py
@@ -48,6 +48,10 @@
     """No connection was made, so no part of the request was sent."""
 
 
+class SendWithheld(PimentogapError):
+    """Nothing was sent, since the server no longer takes requests."""
+
+
 class ResponseLost(PimentogapError):
     """The connection ended after part of the request had been written."""
 
--- a/pimentogap/forwarding/_outcomes.py
+++ b/pimentogap/forwarding/_outcomes.py
@@ -17,6 +17,16 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent, since the backend server no longer takes requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Paused:
+    """The process was paused, and has not been able to catch up since."""
+
+
 @dataclass(frozen=True, slots=True)
 class NotRun:
     """The backend server states that it did not run the request."""
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -14,6 +14,7 @@
     Lost,
     NotRun,
     NotSent,
+    Paused,
     Stalled,
     TimedOut,
     Withdrawn,
@@ -30,6 +31,8 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Least time after which a caller whose prompt is quarantined should come back.
 MIN_BLOCKED_S = 1.0
+# By then a daemon that was paused is up to date, or another one takes the request.
+RETRY_AFTER_PAUSE_S = 0.3
 
 
 class Responder:
@@ -101,6 +104,15 @@
                     attempts=attempts,
                     retry_after_s=after_s,
                 )
+            case Paused():
+                self._refuse_unserved(
+                    request,
+                    admitted,
+                    attempts,
+                    "paused",
+                    remaining_s,
+                    RETRY_AFTER_PAUSE_S,
+                )
             case Interrupted():
                 status = 502 if attempts.possible_runs else 503
                 self.refuse(request, admitted, status, "interrupted", attempts=attempts)
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -6,7 +6,7 @@
 
 from logbook import Logger
 
-from pimentogap.errors import ConnectionFailed, ResponseLost
+from pimentogap.errors import ConnectionFailed, ResponseLost, SendWithheld
 from pimentogap.forwarding._attempts import MAX_LOGGED_PARTS, Attempts
 from pimentogap.forwarding._events import EventFilter
 from pimentogap.forwarding._outcomes import (
@@ -17,12 +17,14 @@
     Lost,
     NotRun,
     NotSent,
+    Paused,
     Stalled,
     TimedOut,
     Withdrawn,
+    Withheld,
 )
 from pimentogap.forwarding._receiver import AnswerReceiver
-from pimentogap.forwarding._responses import Responder
+from pimentogap.forwarding._responses import RETRY_AFTER_PAUSE_S, Responder
 from pimentogap.forwarding._routes import (
     STATUS_BY_REASON,
     Admitted,
@@ -49,8 +51,6 @@
 EXTRA_ATTEMPTS = 2
 # Another daemon can serve the request at once.
 RETRY_AFTER_STOPPING_S = 0.05
-# By then the daemon is up to date, or another one takes the request.
-RETRY_AFTER_PAUSE_S = 0.3
 # A prompt part that crashes backend servers does so when it begins to write; one that
 # was written on for this long is sound.
 SURVIVED_S = 0.5
@@ -82,6 +82,7 @@
         "_configuration",
         "_quarantine",
         "_directory",
+        "_pauses",
         "_permits",
         "_responder",
         "_budget",
@@ -106,6 +107,7 @@
         self._configuration = None
         self._quarantine = None
         self._directory = None
+        self._pauses = None
         self._permits = None
         self._responder = None
         self._budget = RetryBudget(
@@ -127,6 +129,7 @@
         self._configuration = kernel.get("serving_configuration")
         self._quarantine = kernel.get("quarantine")
         self._directory = kernel.get("directory")
+        self._pauses = kernel.get("pauses")
         self._permits = kernel.get("permits")
         self._responder = Responder(kernel, self._codec)
 
@@ -157,7 +160,7 @@
         """Answer ``request``, a `CallerRequest`."""
         self.in_flight += 1
         try:
-            if not await self._kernel.get("pauses").wait_until_current():
+            if not await self._pauses.wait_until_current():
                 self._responder.refuse(
                     request, None, 503, "paused", retry_after_s=RETRY_AFTER_PAUSE_S
                 )
@@ -214,6 +217,8 @@
     async def _try_backends(self, request, admitted, attempts, deadline):
         outcome = None
         while True:
+            if not await self._pauses.wait_until_current():
+                return outcome or Paused()
             model = request.needs.model if admitted.route.carries_model else ""
             choice = self._placement.choose(
                 admitted.service, model, excluded=attempts.excluded_ids
@@ -229,6 +234,9 @@
             if isinstance(verdict, Blocked):
                 self._permits.give_back(backend)
                 return outcome or verdict
+            if not self._may_send(backend):
+                self._permits.give_back(backend)
+                continue
             attempts.is_trial = isinstance(verdict, Trial)
             remaining_s = deadline - self._kernel.clock.time()
             if remaining_s < MIN_ATTEMPT_S:
@@ -239,14 +247,20 @@
                 if not self._has_retry_budget(admitted.service):
                     return outcome
                 self._budget.record_retry(admitted.service, self._kernel.clock.time())
-            outcome = await self._attempt(
-                request, admitted, attempts, backend, deadline
-            )
+            latest = await self._attempt(request, admitted, attempts, backend, deadline)
+            if isinstance(latest, Withheld):
+                self._permits.give_back(backend)
+                continue
+            outcome = latest
             attempts.outcomes.append((backend.id, outcome))
             attempts.excluded_ids.add(backend.id)
             if not self._can_try_another(request, admitted.route, attempts, outcome):
                 return outcome
 
+    def _may_send(self, backend):
+        """Return whether ``backend`` still takes requests, after the request waited."""
+        return self._pauses.is_current() and self._directory.takes_requests(backend)
+
     async def _screen(self, request, admitted):
         """Return whether the parts of the prompt allow an attempt now."""
         parts = request.needs.shared_parts
@@ -317,7 +331,7 @@
                 # Retrieved here, since nothing else does after the caller has
                 # disconnected, and asyncio would report it as never retrieved.
                 exchange.exception()
-        if isinstance(outcome, NotSent | NotRun):
+        if isinstance(outcome, NotSent | NotRun | Withheld):
             attempts.possible_runs -= 1
         if attempts.first_event_at is None:
             attempts.first_event_at = receiver.first_event_at
@@ -363,10 +377,14 @@
                 receiver,
                 fresh=not route.repeatable,
                 connect_s=CONNECT_TIMEOUT_S,
+                may_send=partial(self._may_send, backend),
             )
             return receiver.conclude()
         except ConnectionFailed as error:
             return NotSent(str(error))
+        except SendWithheld as error:
+            log.info("send withheld", id=request.needs.attempt_id, reason=str(error))
+            return Withheld()
         except ResponseLost as error:
             return Lost(str(error))
 
--- a/pimentogap/pauses/_service.py
+++ b/pimentogap/pauses/_service.py
@@ -62,6 +62,11 @@
             await clock.sleep(CHECK_INTERVAL_S)
         return True
 
+    def is_current(self):
+        """Return whether the daemon is up to date, without waiting for it."""
+        self._notice_pause()
+        return self._is_current()
+
     def _is_current(self):
         resumed_at = self._resumed_at
         if resumed_at is None:
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -8,7 +8,12 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import StreamClosedError
 
-from pimentogap.errors import ConnectionFailed, ResponseLost, ReusedConnectionClosed
+from pimentogap.errors import (
+    ConnectionFailed,
+    ResponseLost,
+    ReusedConnectionClosed,
+    SendWithheld,
+)
 from pimentogap.types import decimal_or_none
 from pimentogap.web._connect import connect
 
@@ -123,7 +128,17 @@
         self.connections_opened = 0
 
     async def exchange(
-        self, address, method, path, headers, body, receiver, *, fresh, connect_s
+        self,
+        address,
+        method,
+        path,
+        headers,
+        body,
+        receiver,
+        *,
+        fresh,
+        connect_s,
+        may_send=lambda: True,
     ):
         """Send a request and pass its answer to ``receiver`` as it arrives.
 
@@ -133,7 +148,10 @@
         :param fresh: use a new connection, on which a failure to connect proves that
             nothing was sent.
         :param connect_s: timeout for opening a connection, in seconds.
+        :param may_send: a function that is called once a connection is open, and
+            returns whether to send the request.
         :raises ConnectionFailed: if nothing was sent.
+        :raises SendWithheld: if ``may_send`` returned false; nothing was sent.
         :raises ReusedConnectionClosed: if a reused connection ended before any answer.
         :raises ResponseLost: if the answer did not arrive completely.
         """
@@ -141,6 +159,9 @@
         reused = stream is not None
         if stream is None:
             stream = await self._open(address, connect_s)
+        if not may_send():
+            stream.close()
+            raise SendWithheld(f"{address} no longer takes requests")
         idle_limit_s = 0.0
         try:
             line = RequestStartLine(method, path, "HTTP/1.1")
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -10,6 +10,7 @@
     PeerUnreachable,
     ResponseLost,
     ResponseTimeout,
+    SendWithheld,
 )
 from pimentogap.types import HttpRequest
 from pimentogap.web import BodyBuffer
@@ -22,14 +23,16 @@
     """Delivers requests to handlers by address.
 
     Requests and answers between a pair of source and address in ``cut_links`` are
-    held back until the pair is removed.
+    held back until the pair is removed. ``connect_delays_s_by_address`` has the times
+    that connections take that do not open at once.
     """
 
-    __slots__ = ("handlers_by_address", "cut_links")
+    __slots__ = ("handlers_by_address", "cut_links", "connect_delays_s_by_address")
 
     def __init__(self):
         self.handlers_by_address = {}
         self.cut_links = set()
+        self.connect_delays_s_by_address = {}
 
     def client(self, source):
         """Return the HTTP client of ``source``, which is its connection pool too."""
@@ -65,18 +68,33 @@
         return buffer.response()
 
     async def exchange(
-        self, address, method, path, headers, body, receiver, *, fresh, connect_s
+        self,
+        address,
+        method,
+        path,
+        headers,
+        body,
+        receiver,
+        *,
+        fresh,
+        connect_s,
+        may_send=lambda: True,
     ):
         """Send a request and pass its answer to ``receiver``, as `BackendPool` does.
 
         :raises ConnectionFailed: if nothing listens on ``address``, or the handler
             is silent, which takes ``connect_s`` seconds.
+        :raises SendWithheld: if ``may_send()`` was false once the connection was open.
         :raises ResponseLost: if the connection was closed before the end.
         """
         request = HttpRequest(method, path, dict(headers), body)
         if self._is_silent(address):
             await asyncio.sleep(connect_s)
             raise ConnectionFailed(f"no connection to {address}")
+        delays_s_by_address = self._network.connect_delays_s_by_address
+        await asyncio.sleep(delays_s_by_address.get(address, 0.0))
+        if not may_send():
+            raise SendWithheld(f"{address} no longer takes requests")
         await self._deliver(address, request, receiver)
 
     def close_idle(self, address):
