--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -194,3 +194,18 @@
       | 2       | 0       | 16    | refused  |
       | 2       | 5       | 4     | admitted |
       | 20      | 6       | 4     | refused  |
+
+  # Guards against: loads that slow each other down are taken for ended, and more begin.
+  Scenario Outline: Loads that slow each other down count until they end
+    Given a weight store that supports 6 loads at once and 4 new loads a second
+    And a daemon that has been leader for 20 seconds, while 1 loads are in progress
+    When a group with 8 members to load is admitted
+    And <share> of the time that one load takes alone has passed
+    Then a group with 4 members to load is <verdict>
+
+    Examples:
+      | share | verdict  |
+      | 0.9   | refused  |
+      | 1.1   | refused  |
+      | 1.4   | refused  |
+      | 1.6   | admitted |
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -145,3 +145,15 @@
         context.engine, count, context.now, load_s=LOAD_S
     )
     assert admitted is (verdict == "admitted")
+
+
+@when("a group with {count:d} members to load is admitted")
+def when_admitted(context, count):
+    assert context.limiter.admit_group(
+        context.engine, count, context.now, load_s=LOAD_S
+    )
+
+
+@when("{share:g} of the time that one load takes alone has passed")
+def when_share_passed(context, share):
+    context.now += share * LOAD_S
--- a/pimentogap/formation/_limiter.py
+++ b/pimentogap/formation/_limiter.py
@@ -55,7 +55,7 @@
         )
         if not window_is_empty and not self._is_within_rate(engine, count):
             return False
-        self._record_start(count, now, load_s)
+        self._record_start(engine, count, now, load_s)
         return True
 
     def admit_staging(self, engine, now, *, load_s):
@@ -68,7 +68,7 @@
         limit = engine.loads_at_once * STAGING_CONCURRENCY_FACTOR
         if len(self._end_times) + 1 > limit or not self._is_within_rate(engine, 1):
             return False
-        self._record_start(1, now, load_s)
+        self._record_start(engine, 1, now, load_s)
         return True
 
     def record_running_loads(self, count, now, *, load_s):
@@ -82,12 +82,22 @@
         max_starts = engine.loads_per_s * self._window_s * LEADER_RATE_FRACTION
         return len(self._start_times) + count <= max_starts
 
-    def _record_start(self, count, now, load_s):
+    def _record_start(self, engine, count, now, load_s):
+        """Count ``count`` new loads; they slow each other and the running ones down."""
+        running = len(self._end_times)
+        slowdown = _slowdown(engine, running + count)
+        stretch = slowdown / _slowdown(engine, running)
+        self._end_times = [now + (end - now) * stretch for end in self._end_times]
         self._start_times += [now] * count
-        self.record_running_loads(count, now, load_s=load_s)
+        self.record_running_loads(count, now, load_s=load_s * slowdown)
 
     def _prune(self, now):
         self._start_times = [
             at for at in self._start_times if at > now - self._window_s
         ]
         self._end_times = [at for at in self._end_times if at > now]
+
+
+def _slowdown(engine, count):
+    """Return how many times longer a load takes while ``count`` loads run."""
+    return max(1.0, count / engine.loads_at_once)
