--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -153,10 +153,10 @@
         return CANDIDATE_POLL_INTERVAL_S if is_candidate else STANDBY_POLL_INTERVAL_S
 
     async def _acquire_if_free(self):
-        now = self._kernel.clock.time()
         stored = await self._store.get(COLLECTION, OBJECT, stale=True)
         if stored is None:
             stored = await self._store.get(COLLECTION, OBJECT)
+        now = self._kernel.clock.time()
         if stored is None:
             await self._acquire(0, 0)
             return
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -187,9 +187,13 @@
         self.plain_replicas_by_id[id_] = replica
         self.network.handlers_by_address[replica.address] = replica
 
-    async def start_daemon(self, name, *, zone=ZONES[0]):
-        """Start a daemon, or restart it without any state of its last run."""
+    async def start_daemon(self, name, *, zone=ZONES[0], first_start=True):
+        """Start a daemon, or restart it without any state of its last run.
+
+        :param first_start: whether the whole fleet starts for the first time.
+        """
         document = settings_document(name, zone=zone, ip=name, store=STORE_ADDRESS)
+        document["bootstrap"] = first_start
         settings = load_platform_settings(yaml.safe_dump(document))
         client = self.network.client(name)
         kernel = assemble_front(
