--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -35,7 +35,11 @@
             for number in range(1, EVENTS_PER_STREAM + 1)
         )
         if attempt.body.decode() != expected_body:
-            return f"stream with wrong, missing or reordered events: {attempt!r}"
+            count = attempt.body.count(b"\n\n")
+            return (
+                f"stream with wrong, missing or reordered events, {count} of"
+                f" {EVENTS_PER_STREAM}: {attempt!r}"
+            )
     elif attempt.body.decode() != f"answer to {attempt.id}":
         return f"body differs from the replica's: {attempt!r}"
     return None
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -127,8 +127,11 @@
             writer.close()
 
     async def _pump(self, connection, reader, writer, towards_target):
-        """Forward data until either side closes; a close is delayed like data."""
-        with contextlib.suppress(OSError):
+        """Forward data until either side closes; a close is delayed like data.
+
+        A reset of one side resets the other.
+        """
+        try:
             while True:
                 chunk = await reader.read(CHUNK_BYTES)
                 await self._wait_to_forward(connection, towards_target)
@@ -136,6 +139,10 @@
                     return
                 writer.write(chunk)
                 await writer.drain()
+        except ConnectionResetError:
+            connection.reset()
+        except OSError:
+            return
 
     async def _wait_to_forward(self, connection, towards_target):
         if connection.is_silent:
--- a/standins/stuttering.py
+++ b/standins/stuttering.py
@@ -138,6 +138,10 @@
             try:
                 await self._server.handler.handle(request, reply)
                 await reply.finish()
+            except AbandonConnection:
+                # An answer without a length that just closes would seem whole.
+                self._close(BrokenOff(by_reset=True))
+                raise
             finally:
                 self._record(request, reply, arrived_at)
             if reply.ends_connection:
