--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -14,6 +14,39 @@
       | repeats an earlier refusal without an id          | Lost      |
       | repeats an earlier refusal before its own refusal | NotRun    |
 
+  # Guards against: the late second copy of an answer is taken for the answer to the same
+  # request, sent once more on the same connection.
+  Scenario Outline: A success, written once more <when>, is not taken for the answer to the next send of its request
+    Given a server that succeeds once, writes that success once more <when>, and fails then
+    When two attempts with the same id are made, one after the other
+    Then the outcomes are Delivered and Failure, each on a connection of its own
+
+    Examples:
+      | when                   |
+      | at once                |
+      | soon after             |
+      | before the next answer |
+
+  # Guards against: each request costs a new connection, or a connection that is used for
+  # long remembers ids without bound.
+  Scenario: Attempts with other ids use a kept connection again
+    Given a server that answers each request once
+    When 250 attempts with different ids are made, one after the other
+    Then all were delivered on 3 connections
+
+  # Guards against: bytes that came while no request waited begin the next answer.
+  Scenario Outline: A connection on which <bytes> arrived after its answer is not used again
+    Given a server that answers each request and then sends <bytes>
+    When two attempts with different ids are made, one after the other
+    Then the outcomes are Delivered and Delivered, each on a connection of its own
+
+    Examples:
+      | bytes                         |
+      | a copy of the answer          |
+      | a copy of it without an id    |
+      | half of a copy                |
+      | bytes that are no answer      |
+
   Scenario: A refusal without an id on a new connection is believed
     Given a server that refuses without an id on a new connection
     When one attempt is made
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -22,6 +22,8 @@
 EVENT_INTERVAL_S = 0.3
 LONG_BODY_BYTES = 2 * 2**20
 CHUNK_BYTES = 2**16
+COPY_DELAY_S = 0.02
+IDLE_S = 0.1
 
 
 def id_line(attempt_id):
@@ -40,6 +42,17 @@
     return f"HTTP/1.1 503 Busy\r\n{line}{NOT_RUN}Content-Length: 0\r\n\r\n"
 
 
+def failure(attempt_id):
+    """Return a complete failure of an attempt that ran."""
+    return f"HTTP/1.1 500 -\r\n{id_line(attempt_id)}{SEAL}Content-Length: 3\r\n\r\nbad"
+
+
+SURPLUS_BY_NAME = {
+    "a copy of the answer": success,
+    "a copy of it without an id": lambda id_: success(id_).replace(id_line(id_), ""),
+    "half of a copy": lambda id_: success(id_)[:40],
+    "bytes that are no answer": lambda id_: "no answer",
+}
 OWN_HEAD = f"HTTP/1.1 200 OK\r\n{id_line('a1')}{SEAL}"
 SECOND_BY_FAULT = {
     "repeats an earlier refusal before the answer": refusal("a0") + success("a2"),
@@ -99,6 +112,65 @@
     context.serve = serve
 
 
+@given(
+    "a server that succeeds once, writes that success once more {when}, and fails then"
+)
+def given_repeating_success(context, when):
+    context.idle_s = IDLE_S
+    served = []
+
+    async def serve(reader, writer):
+        is_reused = False
+        while await read_head(reader):
+            served.append(writer)
+            if len(served) > 1:
+                if when == "before the next answer" and is_reused:
+                    writer.write(success("a1").encode())
+                writer.write(failure("a1").encode())
+                continue
+            is_reused = True
+            writer.write(success("a1").encode())
+            if when != "before the next answer":
+                await asyncio.sleep(COPY_DELAY_S if when == "soon after" else 0)
+                writer.write(success("a1").encode())
+        writer.close()
+
+    context.serve = serve
+
+
+@given("a server that answers each request once")
+def given_sound(context):
+    context.serve = serve_each(lambda attempt_id: "")
+
+
+@given("a server that answers each request and then sends {what}")
+def given_adding(context, what):
+    context.idle_s = IDLE_S
+    context.serve = serve_each(SURPLUS_BY_NAME[what])
+
+
+async def read_head(reader):
+    """Return the head of the next request, empty when the connection has ended."""
+    try:
+        return await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return b""
+
+
+def serve_each(surplus):
+    """Return a handler that answers every request and adds ``surplus(attempt_id)``."""
+
+    async def serve(reader, writer):
+        while head := await read_head(reader):
+            attempt_id = head.decode().partition(" /")[2].partition(" ")[0]
+            writer.write(success(attempt_id).encode())
+            await asyncio.sleep(0)
+            writer.write(surplus(attempt_id).encode())
+        writer.close()
+
+    return serve
+
+
 @given("a server that refuses without an id on a new connection")
 def given_refusing(context):
     context.serve = serve_once(refusal(""))
@@ -160,6 +232,21 @@
     asyncio.run(make_attempts(context, ["a1", "a2"]))
 
 
+@when("two attempts with the same id are made, one after the other")
+def when_same_id(context):
+    asyncio.run(make_attempts(context, ["a1", "a1"]))
+
+
+@when("{count:d} attempts with different ids are made, one after the other")
+def when_many(context, count):
+    asyncio.run(make_attempts(context, [f"a{n}" for n in range(count)]))
+
+
+@when("two attempts with different ids are made, one after the other")
+def when_different(context):
+    asyncio.run(make_attempts(context, ["a1", "a2"]))
+
+
 async def make_attempts(context, ids):
     server = await asyncio.start_server(context.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
@@ -168,10 +255,13 @@
     context.outcomes = []
     for call in context.calls:
         context.outcomes.append(await attempt(context, pool, f"{host}:{port}", call))
+        await asyncio.sleep(getattr(context, "idle_s", 0))
     context.connections_opened = pool.connections_opened
     context.idle_count = pool.idle_count
     pool.close()
     server.close()
+    # Lets the server close its connections before the loop ends.
+    await asyncio.sleep(COPY_DELAY_S)
 
 
 async def attempt(context, pool, address, call):
@@ -190,7 +280,7 @@
             await pool.exchange(
                 address,
                 "POST",
-                "/",
+                f"/{call.needs.attempt_id}",
                 [("Host", "x")],
                 b"",
                 receiver,
@@ -209,6 +299,20 @@
     assert context.connections_opened == 1, context.connections_opened
 
 
+@then("the outcomes are {first} and {second}, each on a connection of its own")
+def then_own_connections(context, first, second):
+    names = [type(outcome).__name__ for outcome in context.outcomes]
+    assert names == [first, second], context.outcomes
+    assert context.connections_opened == 2, context.connections_opened
+
+
+@then("all were delivered on {count:d} connections")
+def then_all_delivered(context, count):
+    names = {type(outcome).__name__ for outcome in context.outcomes}
+    assert names == {"Delivered"}, context.outcomes
+    assert context.connections_opened == count, context.connections_opened
+
+
 @then("the outcome is {name}")
 def then_outcome(context, name):
     (outcome,) = context.outcomes
--- a/features/steps/connection_steps.py
+++ b/features/steps/connection_steps.py
@@ -21,14 +21,14 @@
 class AnswerReceiver:
     """Receives the body of the answer to one attempt."""
 
-    __slots__ = ("id", "body")
+    __slots__ = ("attempt_id", "body")
 
     def __init__(self, attempt_id):
-        self.id = attempt_id
+        self.attempt_id = attempt_id
         self.body = b""
 
     def is_own_answer(self, status, headers, *, is_first):
-        return headers.get("Attempt") in (None, self.id)
+        return headers.get("Attempt") in (None, self.attempt_id)
 
     async def headers_received(self, status, headers):
         return None
@@ -188,7 +188,8 @@
         try:
             while True:
                 context.received.append(await read_request(reader))
-                writer.write(answer("a1", "counted"))
+                attempt_id = f"a{len(context.received)}"
+                writer.write(answer(attempt_id, "counted"))
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -198,7 +199,7 @@
 @when("{count:d} requests are sent and one more is withheld")
 def when_withheld(context, count):
     permissions = [True] * count + [False]
-    ids = ["a1"] * len(permissions)
+    ids = [f"a{number}" for number in range(1, len(permissions) + 1)]
     context.results = asyncio.run(exchange(context.serve, ids, permissions))
 
 
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -73,6 +73,11 @@
         if event_filter is not None:
             event_filter.discard_partial_event()
 
+    @property
+    def attempt_id(self):
+        """The id of the caller's attempt, which each backend server's answer names."""
+        return self._request.needs.attempt_id
+
     def is_own_answer(self, status, headers, *, is_first):
         """Tell whether an answer has this request's attempt id.
 
@@ -83,7 +88,7 @@
         attempt_id = self._codec.decode_answer(status, headers).attempt_id
         if attempt_id is None and not is_first:
             raise ResponseLost("an answer without an id on a kept connection")
-        return attempt_id is None or attempt_id == self._request.needs.attempt_id
+        return attempt_id is None or attempt_id == self.attempt_id
 
     async def headers_received(self, status, headers):
         """Record the answer's status and headers, and the load that they report."""
--- a/pimentogap/web/_connect.py
+++ b/pimentogap/web/_connect.py
@@ -13,8 +13,24 @@
 MAX_BUFFER_BYTES = 16 * 2**20
 
 
+class ClientStream(IOStream):
+    """The stream of a client, which can tell if the server sent more than asked."""
+
+    def is_quiet(self):
+        """Return whether the server neither closed nor sent anything unread."""
+        if self.closed() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
 async def connect(address):
-    """Return an `IOStream` that is connected to ``address``, ``HOST:PORT``.
+    """Return a `ClientStream` that is connected to ``address``, ``HOST:PORT``.
 
     :raises OSError: if no socket can be opened.
     :raises StreamClosedError: if the address refuses the connection or cannot be
@@ -28,7 +44,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     _enable_keepalive(sock)
-    stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
+    stream = ClientStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
     try:
         await stream.connect((host, int(port)))
     except (OverflowError, ValueError) as error:
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -22,6 +22,8 @@
 MAX_HEADER_BYTES = 65536
 MAX_BODY_BYTES = 2**40
 MAX_IDLE_PER_BACKEND = 24
+# Bounds the ids that are remembered for a connection.
+MAX_ATTEMPTS_PER_CONNECTION = 100
 # Answers to earlier requests that may precede the expected one on a connection.
 MAX_STRAY_ANSWERS = 2
 MAX_STRAY_BYTES = 2**20
@@ -99,23 +101,41 @@
         self.stream.close()
 
 
-class _IdleConnection:
-    """An idle connection, reusable until ``expires_at``, a time of the event loop."""
+class _Connection:
+    """A connection, and the ids of the attempts that it has carried.
 
-    __slots__ = ("stream", "expires_at")
+    It is reusable until ``expires_at``, a time of the event loop.
+    """
+
+    __slots__ = ("stream", "attempt_ids", "expires_at")
 
-    def __init__(self, stream, expires_at):
+    def __init__(self, stream):
         self.stream = stream
-        self.expires_at = expires_at
+        self.attempt_ids = set()
+        self.expires_at = 0.0
+
+    def can_carry(self, attempt_id):
+        """Tell whether an answer with ``attempt_id`` can only be that of a new send."""
+        return bool(attempt_id) and attempt_id not in self.attempt_ids
+
+    def may_be_kept(self):
+        """Tell whether the connection can carry more attempts."""
+        return len(self.attempt_ids) < MAX_ATTEMPTS_PER_CONNECTION
 
 
 class BackendPool:
     """Sends requests to backend servers and keeps idle connections for later ones.
 
-    A receiver is an object with ``is_own_answer(status, headers, is_first)``, which
-    returns whether an answer belongs to its request, and the coroutine functions
+    A receiver is an object with ``attempt_id``, which its answer names;
+    ``is_own_answer(status, headers, is_first)``, which returns whether an answer
+    belongs to its request; and the coroutine functions
     ``headers_received(status, headers)`` and ``data_received(chunk)``. ``is_first``
-    says that nothing was received on the connection before.
+    says that nothing was received on the connection before. A request without an id
+    gets a connection of its own.
+
+    A backend server may send a second copy of an answer at any time. A connection
+    carries each attempt id only once, so that the id of an answer tells the send that
+    it belongs to, and is closed once more has arrived on it than was asked for.
     """
 
     __slots__ = ("_idle_by_address", "_parameters", "connections_opened")
@@ -155,13 +175,16 @@
         :raises ReusedConnectionClosed: if a reused connection ended before any answer.
         :raises ResponseLost: if the answer did not arrive completely.
         """
-        stream = None if fresh else self._pop_idle(address)
-        reused = stream is not None
-        if stream is None:
-            stream = await self._open(address, connect_s)
+        attempt_id = receiver.attempt_id
+        connection = None if fresh else self._pop_idle(address, attempt_id)
+        reused = connection is not None
+        if connection is None:
+            connection = _Connection(await self._open(address, connect_s))
+        stream = connection.stream
         if not may_send():
             stream.close()
             raise SendWithheld(f"{address} no longer takes requests")
+        connection.attempt_ids.add(attempt_id)
         idle_limit_s = 0.0
         try:
             line = RequestStartLine(method, path, "HTTP/1.1")
@@ -169,8 +192,8 @@
                 stream, line, _fields(method, headers, body), body, receiver, reused
             )
         finally:
-            if idle_limit_s > 0 and not stream.closed():
-                self._store_idle(address, stream, idle_limit_s)
+            if idle_limit_s > 0 and attempt_id and stream.is_quiet():
+                self._store_idle(address, connection, idle_limit_s)
             else:
                 stream.close()
 
@@ -193,6 +216,7 @@
     async def _transfer(self, stream, line, fields, body, receiver, reused):
         connection = HTTP1Connection(stream, True, self._parameters)
         delegate = _AnswerDelegate(receiver, stream, is_first=not reused)
+        has_strays = False
         try:
             # Not awaited: an answer may come before the whole body is sent.
             connection.write_headers(line, fields, body or None)
@@ -202,6 +226,7 @@
                 if delegate.owned or not delegate.finished:
                     break
                 log.info("stray answer dropped", path=line.path)
+                has_strays = True
                 delegate = await self._read_next(stream, receiver)
         except StreamClosedError as error:
             if reused and not delegate.began:
@@ -213,7 +238,7 @@
             if reused and not delegate.began:
                 raise ReusedConnectionClosed("the kept connection ended")
             raise ResponseLost(f"the answer is not whole: {stream.error}")
-        return delegate.idle_limit_s
+        return 0.0 if has_strays else delegate.idle_limit_s
 
     async def _read_next(self, stream, receiver):
         connection = HTTP1Connection(stream, True, self._parameters)
@@ -231,30 +256,34 @@
         self.connections_opened += 1
         return stream
 
-    def _pop_idle(self, address):
-        idle = self._idle_by_address.get(address)
+    def _pop_idle(self, address, attempt_id):
+        """Return the newest usable connection that has not carried ``attempt_id``."""
+        idle = self._idle_by_address.get(address, ())
         now = asyncio.get_running_loop().time()
-        while idle:
-            entry = idle.pop()
-            entry.stream.set_close_callback(None)
-            if not entry.stream.closed() and now < entry.expires_at:
-                return entry.stream
-            entry.stream.close()
+        for connection in list(reversed(idle)):
+            stream = connection.stream
+            is_usable = now < connection.expires_at and stream.is_quiet()
+            if is_usable and not connection.can_carry(attempt_id):
+                continue
+            idle.remove(connection)
+            stream.set_close_callback(None)
+            if is_usable:
+                return connection
+            stream.close()
         return None
 
-    def _store_idle(self, address, stream, idle_limit_s):
+    def _store_idle(self, address, connection, idle_limit_s):
         idle = self._idle_by_address.setdefault(address, deque())
-        if len(idle) >= MAX_IDLE_PER_BACKEND:
+        stream = connection.stream
+        if len(idle) >= MAX_IDLE_PER_BACKEND or not connection.may_be_kept():
             stream.close()
             return
-        entry = _IdleConnection(
-            stream, asyncio.get_running_loop().time() + idle_limit_s
-        )
-        idle.append(entry)
+        connection.expires_at = asyncio.get_running_loop().time() + idle_limit_s
+        idle.append(connection)
 
         def remove_idle():
-            if entry in idle:
-                idle.remove(entry)
+            if connection in idle:
+                idle.remove(connection)
 
         stream.set_close_callback(remove_idle)
 
