--- a/pimentogap/groups/_orders.py
+++ b/pimentogap/groups/_orders.py
@@ -61,7 +61,9 @@
         request = HttpRequest(
             "POST", ORDER_PATH, {}, json.dumps(encode_order(order, fence)).encode()
         )
-        response = await self._http.fetch(address, request, timeout_s=ORDER_TIMEOUT_S)
+        response = await self._http.fetch(
+            address, request, timeout_s=ORDER_TIMEOUT_S, fresh=True
+        )
         if response.status != 200:
             raise OrderRefused(f"{address}: {response.body[:200]!r}")
         return decode_holding(response.json())
@@ -71,7 +73,7 @@
         request = HttpRequest("GET", HOLDING_PATH)
         try:
             response = await self._http.fetch(
-                address, request, timeout_s=ORDER_TIMEOUT_S
+                address, request, timeout_s=ORDER_TIMEOUT_S, fresh=True
             )
             return decode_holding(response.json()) if response.status == 200 else None
         except (ConnectionFailed, ResponseLost):
--- a/pimentogap/platform/_engines.py
+++ b/pimentogap/platform/_engines.py
@@ -24,7 +24,11 @@
 
 
 class HttpEngines:
-    """Sends orders to engines and fetches their reports."""
+    """Sends orders to engines and fetches their reports.
+
+    Each has a connection of its own: the answers carry no id, and a second copy of the
+    answer to one order must not be read as the answer to the next.
+    """
 
     __slots__ = ("_client",)
 
@@ -48,7 +52,7 @@
         request = HttpRequest("POST", "/api/order", headers, json.dumps(body).encode())
         try:
             response = await self._client.fetch(
-                backend.address, request, timeout_s=ORDER_TIMEOUT_S
+                backend.address, request, timeout_s=ORDER_TIMEOUT_S, fresh=True
             )
         except (ConnectionFailed, ResponseLost) as error:
             return OrderUnanswered(str(error))
@@ -73,7 +77,7 @@
             "GET", "/api/report", {"X-Pimentogap-Expect-Replica": backend.id}
         )
         response = await self._client.fetch(
-            backend.address, request, timeout_s=REPORT_TIMEOUT_S
+            backend.address, request, timeout_s=REPORT_TIMEOUT_S, fresh=True
         )
         if response.status != OK_STATUS:
             raise ResponseLost(f"{backend.id} answered {response.status}")
@@ -97,7 +101,7 @@
         )
         try:
             response = await self._client.fetch(
-                backend.address, request, timeout_s=REPORT_TIMEOUT_S
+                backend.address, request, timeout_s=REPORT_TIMEOUT_S, fresh=True
             )
         except (ConnectionFailed, ResponseLost):
             return False
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -87,7 +87,9 @@
                 raise StoreUnavailable(f"the store answered {response.status}")
             if isinstance(call, Watch):
                 self._check_era(call)
-            answer = _decode(call, response.status, _load(call, response), era)
+            data = _load(call, response)
+            _check_name(call, data)
+            answer = _decode(call, response.status, data, era)
         except ConnectionFailed as error:
             raise StoreUnavailable(str(error))
         except ResponseLost as error:
@@ -113,6 +115,14 @@
             raise WatchCompacted("the store has gone back to an older copy")
 
 
+def _check_name(call, data):
+    """Raise `ResponseLost` if an answer with an object has another than the call's."""
+    match call, data:
+        case ((Get() | Put() | Delete()), {"metadata": {"name": name}}):
+            if name != call.name:
+                raise ResponseLost(f"the answer about {call.name} names {name!r}")
+
+
 def _load(call, response):
     match call, response.status:
         case List(), 200:
--- a/pimentogap/web/_client.py
+++ b/pimentogap/web/_client.py
@@ -149,6 +149,11 @@
 class HttpClient:
     """Sends requests and keeps idle connections for later ones.
 
+    Answers carry no id. One that comes twice is not read as the next one if its copy
+    arrives while the connection is idle; between a request and its answer, a copy can
+    not be told from it. Requests that must not get another's answer are sent with
+    ``fresh``.
+
     A receiver is an object with ``headers_received(status, headers)`` and
     ``data_received(chunk)``. If the latter returns an awaitable, it is awaited
     before more is read, which applies backpressure to the server.
@@ -238,7 +243,7 @@
         if not delegate.finished:
             stream.close()
             raise delegate.error or ResponseLost(f"{address} closed the connection")
-        if fresh or not delegate.keep_alive or stream.closed():
+        if fresh or not delegate.keep_alive or not stream.is_quiet():
             stream.close()
         else:
             self._store_idle(address, stream)
@@ -277,9 +282,10 @@
         idle = self._idle_by_address.get(address)
         while idle:
             stream = idle.pop()
-            if not stream.closed():
-                stream.set_close_callback(None)
+            stream.set_close_callback(None)
+            if stream.is_quiet():
                 return stream
+            stream.close()
         return None
 
     def _store_idle(self, address, stream):
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -51,8 +51,8 @@
         self._network = network
         self._source = source
 
-    async def fetch(self, address, request, *, timeout_s, transfer=None):
-        """Send ``request`` and return the complete response.
+    async def fetch(self, address, request, *, timeout_s, fresh=False, transfer=None):
+        """Send ``request`` and return the complete response, on any connection.
 
         :raises ConnectionFailed: if nothing listens on ``address``.
         :raises ResponseLost: if the connection was closed before the end.
