--- a/features/run.py
+++ b/features/run.py
@@ -13,6 +13,9 @@
 HISTORIES_BY_SUITE = {"tickets": 40, "actions": 60, "groups": 20, "front": 30}
 SEED = 1
 SOAK_SEED, SOAK_SECONDS, SOAK_DAEMONS, SOAK_CALLERS = 1, 10.0, 3, 6
+STUTTERING = {"share": 0.6, "faulty_share": 0.03}
+STUTTERING_SEED, STUTTERING_SECONDS, STUTTERING_CALLERS = 3, 10.0, 20
+STUTTERING_HABITS = {"repeat_share": 0.4, "leave_share": 0.05}
 
 
 def run_scenarios():
@@ -61,6 +64,25 @@
     return ([name], []) if has_passed else ([], [name])
 
 
+def run_stuttering_soak():
+    """Run a short soak whose replicas answer twice, as `run_soak`.
+
+    It guards against answers of another request or of another send of the request.
+    """
+    from soak import Habits, play_seed
+
+    has_passed = play_seed(
+        STUTTERING_SEED,
+        seconds=STUTTERING_SECONDS,
+        daemons=SOAK_DAEMONS,
+        callers=STUTTERING_CALLERS,
+        stuttering=STUTTERING,
+        habits=Habits(**STUTTERING_HABITS),
+    )
+    name = f"stuttering soak seed {STUTTERING_SEED}"
+    return ([name], []) if has_passed else ([], [name])
+
+
 def known_red():
     """Return the names of tests that are listed as failing because of an open issue."""
     if not KNOWN_RED.exists():
@@ -72,7 +94,7 @@
 def main():
     """Run everything, print the count and return the exit code."""
     passed, failed = run_scenarios()
-    for run_tests in (run_histories, run_soak):
+    for run_tests in (run_histories, run_soak, run_stuttering_soak):
         more_passed, more_failed = run_tests()
         passed += more_passed
         failed += more_failed
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,8 +2,10 @@
 
 import argparse
 import sys
+from pathlib import Path
 
 from soak._callers import Habits
+from soak._daemons import ROOT
 from soak._play import FIRST_PORT, play_seed
 from soak._regression_seeds import CAUSES_BY_SEED
 from standins._stutter import COPY_NAMES
@@ -50,6 +52,7 @@
         keep=options.keep,
         stuttering=_stuttering(options),
         habits=Habits(options.repeat, options.leave),
+        code=options.code,
     )
 
 
@@ -79,6 +82,13 @@
     parser.add_argument("--callers", type=int, default=10)
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     parser.add_argument("--keep", metavar="FOLDER", help="keep the daemons' logs there")
+    parser.add_argument(
+        "--code",
+        type=_checkout,
+        default=ROOT,
+        metavar="FOLDER",
+        help="run the daemons of another checkout",
+    )
     for name, meaning in SHARES.items():
         parser.add_argument(f"--{name}", type=_share, default=0.0, help=meaning)
     parser.add_argument(
@@ -90,6 +100,13 @@
     return parser
 
 
+def _checkout(text):
+    folder = Path(text).resolve()
+    if not (folder / "front.py").is_file():
+        raise argparse.ArgumentTypeError(f"{text}: no front.py in this folder")
+    return folder
+
+
 def _share(text):
     share = float(text)
     if not 0 <= share <= 1:
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -36,14 +36,16 @@
         "_process",
         "_folder",
         "_document",
+        "_code",
         "_paused",
     )
 
-    def __init__(self, name, ip, folder, *, zone, first_port, store):
+    def __init__(self, name, ip, folder, *, zone, first_port, store, code=ROOT):
         """Prepare the settings; ``folder`` gets their file and the daemon's log.
 
         :param first_port: the port for callers; the next one is for readiness checks.
         :param store: the ``host:port`` at which the daemon reaches the store.
+        :param code: the folder of the checkout that the daemon runs.
         """
         self.name = name
         self.ip = ip
@@ -55,6 +57,7 @@
         self.stopping_since = None
         self._process = None
         self._folder = Path(folder)
+        self._code = Path(code)
         self._paused = False
         self._document = settings_document(
             name, zone=zone, ip=ip, first_port=first_port, store=store
@@ -74,11 +77,11 @@
         }
         with open(self._folder / f"{self.name}.log", "ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(ROOT / "front.py")],
+                [sys.executable, str(self._code / "front.py")],
                 stdout=log,
                 stderr=log,
                 env=environment,
-                cwd=ROOT,
+                cwd=self._code,
             )
         self.start_count += 1
         self.started_at = self.undisturbed_since = time.monotonic()
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -68,6 +68,7 @@
         "_timers",
         "_engine",
         "_stuttering",
+        "_stutters",
         "_seed",
     )
 
@@ -79,6 +80,7 @@
         """
         self.answers = []
         self._stuttering = stuttering
+        self._stutters = []
         self._seed = seed
         self.store = ObjectStore(seed=seed)
         self.records = Records()
@@ -119,6 +121,17 @@
         for server in self._servers:
             await server.close()
 
+    def set_error_share(self, share):
+        """Let the plain replicas fail this share of their requests."""
+        for replica in self.plain_replicas.values():
+            replica.error_share = share
+
+    def end_stutter(self):
+        """Let every replica answer once, and none fail."""
+        for stutter in self._stutters:
+            stutter.share = stutter.faulty_share = 0.0
+        self.set_error_share(0.0)
+
     def write_version(self):
         """Write the next version, whose own route replaces the previous version's."""
         number = len(self.versions) + 1
@@ -214,6 +227,7 @@
         address = self._next_address()
         rng = random.Random(f"{self._seed}-{replica.id}")
         stutter = Stutter(rng, **self._stuttering)
+        self._stutters.append(stutter)
         server = StutteringServer(replica.id, replica, stutter, self.answers)
         server.listen_on(address)
         self._servers.append(server)
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -8,6 +8,7 @@
 import logbook
 
 from soak._callers import STAYING
+from soak._daemons import ROOT
 from soak._run import Soak
 
 FIRST_PORT = 24000
@@ -24,6 +25,7 @@
     keep=None,
     stuttering=None,
     habits=STAYING,
+    code=ROOT,
 ):
     """Run the soak of one seed, print its problems, and return whether it passed.
 
@@ -33,6 +35,7 @@
     :param stuttering: the options of the replicas' `Stutter`; by default, none
         stutters.
     :param habits: the `Habits` of the callers.
+    :param code: the folder of the checkout that the daemons run.
     """
     with contextlib.ExitStack() as stack:
         stack.enter_context(logbook.NullHandler().applicationbound())
@@ -49,6 +52,7 @@
                 first_port=first_port,
                 stuttering=stuttering,
                 habits=habits,
+                code=code,
             )
         )
     verdict = f"{len(soak.problems)} problems" if soak.problems else "passed"
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -17,7 +17,7 @@
     check_stops,
     check_times,
 )
-from soak._daemons import DaemonProcess
+from soak._daemons import ROOT, DaemonProcess
 from soak._faults import Injector, Scope, schedule
 from soak._links import Link
 from soak._platform import ZONES, Platform, host_port
@@ -50,6 +50,7 @@
         "_random",
         "_tasks",
         "_faults",
+        "_stutter_span",
     )
 
     def __init__(
@@ -62,12 +63,14 @@
         first_port,
         stuttering=None,
         habits=STAYING,
+        code=ROOT,
     ):
         """Prepare the soak of ``seed``.
 
         :param stuttering: the options of the replicas' `Stutter`; by default, none
             stutters.
         :param habits: the `Habits` of the callers.
+        :param code: the folder of the checkout that the daemons run.
         """
         rng = self._random = random.Random(seed)
         host = f"127.0.{first_port // 100 % 200 + 1}.1"
@@ -90,6 +93,7 @@
                 zone=ZONES[index % len(ZONES)],
                 first_port=port,
                 store=f"{host}:{store_address[1]}",
+                code=code,
             )
             self.daemons.append(daemon)
             caller_links.append(Link((host, port + 5), daemon.caller_address))
@@ -104,10 +108,12 @@
             self.daemons, links_by_name, random.Random(rng.random()), habits
         )
         self.injector = Injector(self.platform, self.daemons, self._links, rng)
+        self._stutter_span = None
         if stuttering is not None:
-            self.injector.begin_span("stuttering replicas", scope=Scope.REPLICA)
-            for replica in self.platform.plain_replicas.values():
-                replica.error_share = STUTTERING_ERROR_SHARE
+            self._stutter_span = self.injector.begin_span(
+                "stuttering replicas", scope=Scope.REPLICA
+            )
+            self.platform.set_error_share(STUTTERING_ERROR_SHARE)
         replica_count = len(self.platform.model_replicas)
         self._faults = schedule(rng, seconds, daemons=daemons, replicas=replica_count)
 
@@ -154,6 +160,9 @@
     async def _check_recovery(self):
         """Wait until every fault has ended and check that daemons serve again."""
         await asyncio.gather(*self.injector.tasks)
+        if self._stutter_span is not None:
+            self.platform.end_stutter()
+            self._stutter_span.end()
         await self._wait_for(
             self._is_ready, RECOVERY_TIMEOUT_S, "fleet did not recover"
         )
