--- a/features/platform/served.feature
+++ b/features/platform/served.feature
@@ -14,6 +14,7 @@
       | shape   | that is not there      | No such file       |
       | trouble | earthquake             | earthquake         |
       | seconds | -1                     | seconds            |
+      | rate    | nan                    | rate               |
 
   Scenario: The same seed draws the same requests, at the rates of the shape
     Then two draws of 100 seconds of seed 3 are equal and differ from seed 4
--- a/soak/_served.py
+++ b/soak/_served.py
@@ -72,12 +72,13 @@
         self._daemons = []
         self._processes = []
 
-    async def play(self, names, *, seconds, trouble_at_s, busy):
+    async def play(self, names, *, seconds, trouble_at_s, busy, rate):
         """Run the fleet, the callers and the troubles called ``names``.
 
         :param seconds: how long requests are sent.
         :param trouble_at_s: when the troubles begin, in seconds of the traffic.
         :param busy: how many processes spin beside the fleet.
+        :param rate: multiplies the requests a second of the shape.
         """
         watches = []
         try:
@@ -87,7 +88,7 @@
             self._start_daemons()
             self._spin(busy)
             self._begins_at = time.monotonic() + self._shape.start_lead
-            outputs = self._start_callers(seconds)
+            outputs = self._start_callers(seconds, rate)
             watches = [
                 asyncio.ensure_future(self._watch_start()),
                 asyncio.ensure_future(self._watch_lag()),
@@ -144,7 +145,7 @@
         for _ in range(busy):
             self._processes.append(subprocess.Popen([sys.executable, "-c", SPIN]))
 
-    def _start_callers(self, seconds):
+    def _start_callers(self, seconds, rate):
         outputs = []
         for index in range(CALLER_PROCESSES):
             plan_path = self._folder / f"callers-{index}.plan.json"
@@ -153,6 +154,7 @@
                 "shape": self._shape_name,
                 "seed": self._seed,
                 "seconds": seconds,
+                "rate": rate,
                 "begins_at": self._begins_at,
                 "processes": CALLER_PROCESSES,
                 "index": index,
--- a/soak/_served_callers.py
+++ b/soak/_served_callers.py
@@ -46,12 +46,15 @@
         self.events = events
 
 
-def draw_arrivals(shape, seed, seconds):
-    """Return the `Arrival` list of a run, sorted by time."""
+def draw_arrivals(shape, seed, seconds, *, rate=1.0):
+    """Return the `Arrival` list of a run, sorted by time.
+
+    :param rate: multiplies the requests a second of the shape.
+    """
     arrivals = []
     for kind in shape.kinds:
         rng = random.Random(f"{seed}-{kind.name}")
-        at_s = rng.expovariate(kind.per_s)
+        at_s = rng.expovariate(kind.per_s * rate)
         while at_s < seconds:
             arrivals.append(
                 Arrival(
@@ -63,7 +66,7 @@
                     _draw_size(rng, kind.events),
                 )
             )
-            at_s += rng.expovariate(kind.per_s)
+            at_s += rng.expovariate(kind.per_s * rate)
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
@@ -237,7 +240,9 @@
         ]
         polls.append(asyncio.ensure_future(self._watch_lag()))
         tasks = []
-        for arrival in draw_arrivals(self._shape, plan["seed"], plan["seconds"]):
+        for arrival in draw_arrivals(
+            self._shape, plan["seed"], plan["seconds"], rate=plan["rate"]
+        ):
             if arrival.client % plan["processes"] != plan["index"]:
                 continue
             due = plan["begins_at"] + arrival.at_s
--- a/soak/_served_platform.py
+++ b/soak/_served_platform.py
@@ -148,10 +148,17 @@
             for replica in self.model_replicas.values()
         )
 
-    def write_version(self):
-        """Write the next version of the configuration."""
+    def write_version(self, *, more_routes=0):
+        """Write the next version of the configuration.
+
+        :param more_routes: how many routes it has that no request of a kind takes.
+        """
         number = len(self.versions) + 1
         routes = [_route(kind) for kind in self._shape.kinds]
+        routes += [
+            route(f"r{index}", f"/r{index}/", "idempotent", PLAIN_SERVICE, 1200, 150)
+            for index in range(more_routes)
+        ]
         services = [
             {"name": MODEL_SERVICE, "maxConns": 474, "engine": ENGINE},
             {"name": PLAIN_SERVICE, "maxConns": 110},
--- a/soak/_served_troubles.py
+++ b/soak/_served_troubles.py
@@ -63,6 +63,13 @@
     pause_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class AddRoutes:
+    """Planned: the configuration grows by ``count`` routes, in four versions."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopFleet:
     """Planned: all daemons get SIGTERM at once and start again after their exit."""
@@ -110,6 +117,7 @@
         "plain-lost-answers": [
             (0.0, FaultyAnswers(PLAIN_SERVICE, 3, 0.0, 0.1, TROUBLE_S))
         ],
+        "big-config": [(0.0, AddRoutes(350))],
         "release": [(0.0, ReleasePlain(1.0))],
     }
 
@@ -173,6 +181,10 @@
                 for replica in list(self._platform.plain_replicas.values()):
                     await self._platform.release(replica)
                     await asyncio.sleep(pause_s)
+            case AddRoutes(count):
+                for step in range(1, 5):
+                    self._platform.write_version(more_routes=count * step // 4)
+                    await asyncio.sleep(1.0)
             case StopFleet():
                 for index in range(len(self._daemons)):
                     self._injector.inject(StopDaemon(index))
--- a/soak/served.py
+++ b/soak/served.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import signal
 import sys
 import tempfile
@@ -48,9 +49,11 @@
         for problem in error.problems:
             print(f"{options.shape}: {problem}", file=sys.stderr)
         return EXIT_SETTINGS
-    if options.seconds <= 0:
-        print(f"seconds: expected more than 0, got {options.seconds}", file=sys.stderr)
-        return EXIT_SETTINGS
+    for name in ("seconds", "rate"):
+        value = getattr(options, name)
+        if not 0 < value < math.inf:
+            print(f"{name}: expected more than 0, got {value}", file=sys.stderr)
+            return EXIT_SETTINGS
     known = troubles(shape)
     plays = [name for name in known if name != "none"]
     if options.trouble != "all":
@@ -110,6 +113,7 @@
             seconds=options.seconds,
             trouble_at_s=options.trouble_at,
             busy=options.busy,
+            rate=options.rate,
         )
     )
     lines = tables(run.requests, run.lag_ms_by_second)
@@ -120,6 +124,7 @@
         "seed": options.seed,
         "trouble": name,
         "busy": options.busy,
+        "rate": options.rate,
         "trouble_began_s": run.trouble_began_s,
         "trouble_ended_s": run.trouble_ended_s,
         "ready_s_by_daemon": run.ready_s_by_daemon,
@@ -159,6 +164,9 @@
     parser.add_argument("--seconds", type=float, default=30.0, help="of traffic")
     parser.add_argument("--trouble-at", type=float, default=6.0, metavar="S")
     parser.add_argument("--busy", type=int, default=0, help="processes that spin")
+    parser.add_argument(
+        "--rate", type=float, default=1.0, help="times the requests of the shape"
+    )
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     parser.add_argument("--keep", metavar="FOLDER", help="keep logs and records there")
     return parser
