--- a/features/platform/groups.feature
+++ b/features/platform/groups.feature
@@ -167,6 +167,23 @@
       | 6          | 1          | 5          | 5          | 5      | 8    | large       |
       | 1          | 1          | 4          | 4          | 5      | 6    | large small |
 
+  # Guards against: callers are refused while the model that they need could have a group
+  # of idle backend servers.
+  Scenario Outline: An overloaded model may use the spares, unless a model is below its target
+    Given an engine with models of 4 and 2 members and shares of 0.67 and 0.33
+    And <busy large> and <busy small> busy groups were measured
+    And <overload>
+    When <have large> large and <have small> small groups exist, the target is 5 of each, and <free> backend servers of a domain are free
+    Then the plan is "<plan>"
+
+    Examples:
+      | busy large | busy small | overload                  | have large | have small | free | plan  |
+      | 1          | 6          | no model is overloaded    | 5          | 5          | 2    |       |
+      | 1          | 6          | model small is overloaded | 5          | 5          | 2    | small |
+      | 3          | 6          | model small is overloaded | 5          | 9          | 2    | small |
+      | 6          | 1          | model large is overloaded | 5          | 5          | 4    | large |
+      | 1          | 6          | model small is overloaded | 4          | 5          | 3    |       |
+
   Scenario Outline: Hosts without weights load before those with other weights (many servers replaced)
     Given an engine with models of 4 and 2 members and shares of 0.67 and 0.33
     When the free backend servers of each domain are "<free>", with weights of large, small or nothing (-)
--- a/features/steps/planning_steps.py
+++ b/features/steps/planning_steps.py
@@ -49,6 +49,16 @@
     assert counts == {"large": large, "small": small}, counts
 
 
+@given("no model is overloaded")
+def given_no_overload(context):
+    context.overloaded = set()
+
+
+@given("model {model} is overloaded")
+def given_overload(context, model):
+    context.overloaded = {model}
+
+
 @when(
     "{large:d} large and {small:d} small groups exist,"
     " the target is {target:d} of each,"
@@ -74,6 +84,7 @@
         {"large": target, "small": target},
         context.demand.group_shares(context.engine),
         spares=1,
+        overloaded=getattr(context, "overloaded", ()),
     )
 
 
--- a/features/steps/platform_group_steps.py
+++ b/features/steps/platform_group_steps.py
@@ -146,6 +146,12 @@
         assert shown is (name in leaders), name
 
 
+@then("there are at most {count:d} open groups of model {model}")
+def then_open_at_most(context, count, model):
+    heads = context.simulation.fleet.open_group_heads(model)
+    assert len(heads) <= count, len(heads)
+
+
 @then("there are at least {count:d} open groups of model {model}")
 def then_groups(context, count, model):
     heads = [head.id for head in context.simulation.fleet.open_group_heads(model)]
--- a/pimentogap/formation/_demand.py
+++ b/pimentogap/formation/_demand.py
@@ -15,6 +15,9 @@
 # With fewer busy groups than this over all models, no shares are derived from them.
 MIN_BUSY_GROUPS = 0.5
 MIN_SHARE = 0.02
+# Requests per slot, averaged over a model's open groups, from which callers wait or
+# are refused.
+OVERLOAD_REQUESTS_PER_SLOT = 1.0
 
 
 class Demand:
@@ -40,6 +43,19 @@
             average = self._busy_by_model.get(model, busy)
             self._busy_by_model[model] = average + weight * (busy - average)
 
+    def overloaded_models(self, open_groups_by_model):
+        """Return the names of the models whose open groups have no free slots.
+
+        :param open_groups_by_model: how many groups of each model are open.
+        """
+        return {
+            model
+            for model, count in open_groups_by_model.items()
+            if count
+            and self._busy_by_model.get(model, 0.0)
+            >= count * OVERLOAD_REQUESTS_PER_SLOT
+        }
+
     def group_shares(self, engine):
         """Return each model's share of the groups, between 0 and 1, by model name.
 
@@ -82,6 +98,22 @@
         demand.record(busy_by_model, now)
         return demand.group_shares(service.engine)
 
+    def overloaded_models(self, service):
+        """Return the names of the models of ``service`` that lack slots.
+
+        It goes by the last measurement of `group_shares`.
+        """
+        demand = self._demand_by_service.get(service.name)
+        if demand is None:
+            return frozenset()
+        directory = self._kernel.get("directory")
+        return demand.overloaded_models(
+            {
+                spec.name: len(directory.heads(service.name, spec.name))
+                for spec in service.engine.models
+            }
+        )
+
     def clear_gauges(self):
         """Remove the gauges, which only the leader may export."""
         for name in (OPEN_GROUPS, BUSY_GROUPS):
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -55,6 +55,7 @@
     group_shares,
     *,
     spares,
+    overloaded=(),
     now=0.0,
 ):
     """Return the groups to form from ``free`` backend servers.
@@ -65,8 +66,9 @@
     :param weights: the `HostWeights`.
     :param targets: what `target_counts` returned.
     :param group_shares: each model's share of the groups, by model name.
-    :param spares: spares of each fabric domain. A model below its target may use
-        them; for any other model, one more than these is left free.
+    :param spares: spares of each fabric domain. A model that is below its target or
+        overloaded may use them; for any other model, one more than these is left free.
+    :param overloaded: the names of the models whose groups have no free slots.
     :param now: seconds of the runtime's clock, for loads in progress.
     """
     free_by_domain = {}
@@ -84,6 +86,7 @@
             targets,
             group_shares,
             spares,
+            overloaded,
             now,
         )
         if planned is None:
@@ -105,13 +108,14 @@
     targets,
     group_shares,
     spares,
+    overloaded,
     now,
 ):
     """Return the next group to form, or ``None``.
 
-    Models below their target go first, then the model that is furthest below its
-    share. Members that need no load are preferred, then domains that keep their
-    spares, then the tightest fit.
+    Models below their target go first, then overloaded ones, then the model that is
+    furthest below its share. Members that need no load are preferred, then domains
+    that keep their spares, then the tightest fit.
     """
 
     def is_below_target(spec):
@@ -119,14 +123,16 @@
 
     ordered = sorted(
         _by_need(engine, counts, group_shares),
-        key=lambda spec: not is_below_target(spec),
+        key=lambda spec: (not is_below_target(spec), spec.name not in overloaded),
     )
     for position, spec in enumerate(ordered):
-        below_target = is_below_target(spec)
-        if position and not below_target:
+        may_use_spares = is_below_target(spec) or (
+            spec.name in overloaded and not is_below_target(ordered[0])
+        )
+        if position and not may_use_spares:
             # Free backend servers are kept for the model that needs them most.
             continue
-        needed = spec.size + (0 if below_target else spares + 1)
+        needed = spec.size + (0 if may_use_spares else spares + 1)
         group = _cheapest_group(spec, free_by_domain, weights, needed, spares, now)
         if group is not None:
             return group
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -374,6 +374,7 @@
             targets,
             group_shares,
             spares=SPARES_PER_DOMAIN,
+            overloaded=self._demand.overloaded_models(service),
             now=now,
         )
         reserved_ids = self._recently_freed(free)
