--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -1,6 +1,7 @@
 """Checks of the platform's guarantees against the records of callers and replicas."""
 
 import json
+import math
 import time
 
 from soak._platform import VERSION_PATH
@@ -16,8 +17,9 @@
 # ``SETTLE_S`` after its end.
 SETTLE_S = 3.0
 CONFIGURATION_LIMIT_S = 2.0
-DRAIN_LIMIT_S = 2.0
 ROUTE_TIMEOUT_S = 1.2
+# The deadline of the callers' streams, the longest of all.
+STREAM_LIMIT_S = 6.0
 ANSWER_SLACK_S = 0.5
 
 
@@ -85,13 +87,15 @@
     return problems
 
 
-def check_stops(attempts, records, injector):
+def check_stops(attempts, records, injector, leavings):
     """Return stops that took too long, and answers that planned work cut off.
 
     An answer counts if it is incomplete though a replica ran the request, and if
-    only planned work disturbed the daemon.
+    only planned work disturbed the daemon. It does not if a replica that ran it has
+    left meanwhile, and broke it off.
     """
     run_ids = {run.attempt_id for run in records.runs}
+    exits_by_id = _exits_by_id(records, leavings)
     problems = [
         f"{span.daemon}: {span.cause}"
         for span in injector.spans
@@ -102,6 +106,8 @@
             continue
         if attempt.has_left:
             continue
+        if exits_by_id.get(attempt.id, math.inf) <= attempt.ended_at:
+            continue
         started_at, ended_at = attempt.sent_at - SETTLE_S, attempt.ended_at
         has_fault = injector.was_disturbed(attempt.daemon, started_at, ended_at)
         if has_fault and not injector.was_disturbed(
@@ -111,23 +117,15 @@
     return problems
 
 
-def check_drains(platform, injector, daemons):
-    """Return runs that started on draining replicas after ``DRAIN_LIMIT_S``."""
-    problems = []
-    for id_, drained_at in platform.drained_at_by_id.items():
-        limit = drained_at + DRAIN_LIMIT_S + ANSWER_SLACK_S
-        undisturbed = not any(
-            injector.was_disturbed(daemon, drained_at - SETTLE_S, limit, planned=False)
-            for daemon in daemons
-        )
-        late = [
-            r
-            for r in platform.records.runs
-            if r.replica == id_ and r.started_at > limit
-        ]
-        if late and undisturbed:
-            problems.append(f"{len(late)} runs at {id_} after the drain limit")
-    return problems
+def _exits_by_id(records, leavings):
+    """Return when a replica that had a request exited, by the request's id."""
+    return {
+        arrival.attempt_id: leaving.ended_at
+        for leaving in leavings
+        for arrival in records.arrivals
+        if arrival.replica == leaving.replica
+        and leaving.ended_at - STREAM_LIMIT_S < arrival.arrived_at <= leaving.ended_at
+    }
 
 
 def check_logs(folder):
--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -92,6 +92,11 @@
         """Whether the process has been started and has not exited."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self):
+        """The id of the process, or ``None`` if it does not run."""
+        return self._process.pid if self.is_running else None
+
     @property
     def exit_code(self):
         """The exit code of the process, or ``None`` while it runs."""
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,9 +4,10 @@
 import signal
 import time
 from dataclasses import dataclass
-from enum import StrEnum
 
+from soak._leaving import CutFromStore, Leave, leave
 from soak._links import Blocked, Clear, Delayed
+from soak._spans import FaultSpan, Scope
 
 STOP_GRACE_S = 8.0
 RESTART_DELAY_RANGE_S = (0.2, 1.5)
@@ -199,31 +200,6 @@
     return rng.uniform(min_delay_s, max_delay_s), rng.uniform(1.0, 6.0)
 
 
-class Scope(StrEnum):
-    """What a fault affects: daemons and their store, or replicas alone."""
-
-    DAEMON = "daemon"
-    REPLICA = "replica"
-
-
-class FaultSpan:
-    """The time span of a fault or of planned work; ``daemon`` is ``None`` for all."""
-
-    __slots__ = ("cause", "daemon", "scope", "planned", "started_at", "ended_at")
-
-    def __init__(self, cause, daemon, *, scope, planned):
-        self.cause = cause
-        self.daemon = daemon
-        self.scope = scope
-        self.planned = planned
-        self.started_at = time.monotonic()
-        self.ended_at = float("inf")
-
-    def end(self):
-        """Record the current time as the end of the span."""
-        self.ended_at = time.monotonic()
-
-
 class Injector:
     """Injects and ends faults; those that can excuse breaches have a `FaultSpan`."""
 
@@ -295,6 +271,14 @@
                 await self._delay_orders(duration_s, late_order_share=share)
             case PlainFault(lost_share, refused_share, duration_s):
                 await self._apply_plain_fault(lost_share, refused_share, duration_s)
+            case CutFromStore(index, towards_store, from_store, duration_s):
+                await self._cut_from_store(
+                    self._daemons[index], Blocked(towards_store, from_store), duration_s
+                )
+            case Leave() as fault:
+                span = self.begin_span("leaving", scope=Scope.REPLICA, planned=True)
+                await leave(self._platform, fault)
+                span.end()
             case WriteVersions(count):
                 for _ in range(count):
                     self._platform.write_version()
@@ -320,6 +304,14 @@
         link.set_condition(Clear())
         span.end()
 
+    async def _cut_from_store(self, daemon, condition, duration_s):
+        (link,) = self._links_by_kind["store"]
+        span = self.begin_span("store cut", daemon)
+        link.set_condition(condition, owner=daemon.name)
+        await asyncio.sleep(duration_s)
+        link.set_condition(Clear(), owner=daemon.name)
+        span.end()
+
     async def _stop(self, daemon):
         if not daemon.is_running or daemon.stopping_since is not None:
             return
--- a/soak/_links.py
+++ b/soak/_links.py
@@ -32,13 +32,17 @@
 
 
 class RelayedConnection:
-    """One connection through a link; if ``is_silent``, no more data is forwarded."""
+    """One connection through a link; if ``is_silent``, no more data is forwarded.
 
-    __slots__ = ("client", "target", "is_silent")
+    ``owner`` names who opened it, if the link knows.
+    """
 
-    def __init__(self, client, target):
+    __slots__ = ("client", "target", "owner", "is_silent")
+
+    def __init__(self, client, target, owner):
         self.client = client
         self.target = target
+        self.owner = owner
         self.is_silent = False
 
     def reset(self):
@@ -51,22 +55,29 @@
 
 
 class Link:
-    """Relays connections from ``address`` to ``target``, both ``(host, port)``."""
+    """Relays connections from ``address`` to ``target``, both ``(host, port)``.
+
+    ``find_owner`` returns the name of who opened a connection, by its writer.
+    """
 
     __slots__ = (
         "address",
         "target",
+        "_find_owner",
         "_condition",
+        "_conditions_by_owner",
         "_condition_changed",
         "_connections",
         "_server",
         "_tasks",
     )
 
-    def __init__(self, address, target):
+    def __init__(self, address, target, *, find_owner=lambda writer: None):
         self.address = address
         self.target = target
+        self._find_owner = find_owner
         self._condition = Clear()
+        self._conditions_by_owner = {}
         self._condition_changed = asyncio.Event()
         self._connections = set()
         self._server = None
@@ -84,9 +95,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def set_condition(self, condition):
-        """Apply `Clear`, `Delayed` or `Blocked` to open and later connections."""
-        self._condition = condition
+    def set_condition(self, condition, *, owner=None):
+        """Apply `Clear`, `Delayed` or `Blocked` to open and later connections.
+
+        :param owner: apply it to the connections of this owner alone.
+        """
+        if owner is None:
+            self._condition = condition
+        else:
+            self._conditions_by_owner[owner] = condition
         self._condition_changed.set()
         self._condition_changed = asyncio.Event()
 
@@ -111,7 +128,8 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = RelayedConnection(writer, target_writer)
+        owner = self._find_owner(writer)
+        connection = RelayedConnection(writer, target_writer, owner)
         self._connections.add(connection)
         pumps = [
             asyncio.ensure_future(self._pump(connection, reader, target_writer, True)),
@@ -147,14 +165,18 @@
     async def _wait_to_forward(self, connection, towards_target):
         if connection.is_silent:
             await asyncio.Event().wait()
-        while True:
-            match self._condition:
-                case Delayed(delay_s):
-                    await asyncio.sleep(delay_s)
-                    return
+        while self._blocks(connection, towards_target):
+            await self._condition_changed.wait()
+        match self._condition:
+            case Delayed(delay_s):
+                await asyncio.sleep(delay_s)
+
+    def _blocks(self, connection, towards_target):
+        own = self._conditions_by_owner.get(connection.owner, Clear())
+        for condition in (self._condition, own):
+            match condition:
                 case Blocked(blocks_towards, blocks_from) if (
                     blocks_towards if towards_target else blocks_from
                 ):
-                    await self._condition_changed.wait()
-                case _:
-                    return
+                    return True
+        return False
--- a/soak/_platform.py
+++ b/soak/_platform.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+from soak._leaving import Leaving
 from soak._links import Link
 from standins._network import SocketServer
 from standins._stutter import Stutter
@@ -61,7 +62,7 @@
         "links_by_replica_id",
         "store_address",
         "versions",
-        "drained_at_by_id",
+        "leavings",
         "_host",
         "_last_port",
         "_servers",
@@ -88,7 +89,7 @@
         self.plain_replicas = {}
         self.links_by_replica_id = {}
         self.versions = []
-        self.drained_at_by_id = {}
+        self.leavings = []
         self._host = host
         self._last_port = first_port
         self._servers = []
@@ -159,16 +160,42 @@
         self._schedule_expiry(replica)
 
     def restart(self, replica):
-        """Restart a model replica under the same id and end its faults."""
-        replica.is_silent = replica.cut_from_store = False
-        self.drained_at_by_id.pop(replica.id, None)
+        """Restart a replica under the same id and end its faults."""
+        replica.is_silent = replica.cut_from_store = replica.says_leaving = False
+        self._end_leavings(replica)
         replica.restart()
 
     def drain(self, replica):
-        """Let a model replica publish that it is draining."""
-        replica.state = "draining"
-        replica.publish()
-        self.drained_at_by_id[replica.id] = time.monotonic()
+        """Let a replica publish that it is draining."""
+        self.record_leaving(replica, "draining")
+        replica.leave()
+
+    def record_leaving(self, replica, manner):
+        """Record that ``replica`` leaves, before it does."""
+        self.leavings.append(Leaving(replica.id, manner))
+
+    def _end_leavings(self, replica):
+        for leaving in self.leavings:
+            if leaving.replica == replica.id:
+                leaving.ended_at = min(leaving.ended_at, time.monotonic())
+
+    def exit(self, replica):
+        """End a replica's process, and with it the entry and the connections."""
+        replica.exit()
+        self._end_leavings(replica)
+        self.store.remove("servers", replica.id)
+        self.links_by_replica_id[replica.id].reset()
+
+    def replica(self, id_):
+        """Return the model or plain replica ``id_``."""
+        return self.model_replicas.get(id_) or self.plain_replicas[id_]
+
+    def is_undisturbed(self, replica):
+        """Return whether ``replica`` runs, is listed and does not leave."""
+        entry = self.store.objects_by_kind["servers"].get(replica.id)
+        is_listed = entry is not None and entry["specification"]["state"] == "ready"
+        has_fault = replica.is_silent or replica.is_down or replica.says_leaving
+        return is_listed and not has_fault and not replica.cut_from_store
 
     def _schedule_expiry(self, replica):
         def expire():
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,9 +8,9 @@
 from soak._answers import check_sent_answers
 from soak._callers import STAYING, Callers
 from soak._checks import (
+    SETTLE_S,
     VersionWatch,
     check_answer,
-    check_drains,
     check_groups,
     check_logs,
     check_runs,
@@ -18,9 +18,12 @@
     check_times,
 )
 from soak._daemons import ROOT, DaemonProcess
-from soak._faults import Injector, Scope, schedule
+from soak._faults import Injector, schedule
+from soak._leaving import check_leaving, schedule_leaves
 from soak._links import Link
+from soak._owners import owner_of
 from soak._platform import ZONES, Platform, host_port
+from soak._spans import Scope
 
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 40.0
@@ -82,7 +85,11 @@
         self.daemons = []
         # Only daemons with the same store address form a fleet, so they share a link.
         store_address = (host, first_port + STORE_LINK_PORT_OFFSET)
-        store_link = Link(store_address, host_port(self.platform.store_address))
+        store_link = Link(
+            store_address,
+            host_port(self.platform.store_address),
+            find_owner=self._owner_of,
+        )
         for index in range(daemons):
             port = first_port + 200 + PORTS_PER_DAEMON * index
             ip = host.rpartition(".")[0] + f".{10 + index}"
@@ -115,7 +122,21 @@
             )
             self.platform.set_error_share(STUTTERING_ERROR_SHARE)
         replica_count = len(self.platform.model_replicas)
-        self._faults = schedule(rng, seconds, daemons=daemons, replicas=replica_count)
+        faults = schedule(rng, seconds, daemons=daemons, replicas=replica_count)
+        leaves = schedule_leaves(
+            seed,
+            seconds,
+            plain=self.platform.plain_replicas,
+            models=self.platform.model_replicas,
+            daemons=daemons,
+        )
+        self._faults = sorted((*faults, *leaves), key=lambda item: item[0])
+
+    def _owner_of(self, writer):
+        """Return the name of the daemon that opened a connection to the store."""
+        names_by_pid = {daemon.pid: daemon.name for daemon in self.daemons}
+        names_by_pid.pop(None, None)
+        return names_by_pid.get(owner_of(writer, names_by_pid))
 
     async def play(self, *, callers, seconds):
         """Run the soak; afterwards ``problems`` has a line for each failed check."""
@@ -163,6 +184,8 @@
         if self._stutter_span is not None:
             self.platform.end_stutter()
             self._stutter_span.end()
+        # The callers' last requests, which end with the soak, are to follow no fault.
+        await asyncio.sleep(SETTLE_S)
         await self._wait_for(
             self._is_ready, RECOVERY_TIMEOUT_S, "fleet did not recover"
         )
@@ -200,8 +223,12 @@
         self.problems += check_runs(attempts, records)
         self.problems += check_groups(records)
         self.problems += check_times(attempts, self.injector)
-        self.problems += check_stops(attempts, records, self.injector)
-        self.problems += check_drains(self.platform, self.injector, self.daemons)
+        self.problems += check_stops(
+            attempts, records, self.injector, self.platform.leavings
+        )
+        self.problems += check_leaving(
+            self.platform, attempts, self.injector, self.daemons
+        )
         self.problems += check_logs(self.folder)
 
     async def _watch_daemons(self):
--- a/standins/emulator/_plain.py
+++ b/standins/emulator/_plain.py
@@ -4,7 +4,7 @@
 import random
 
 from standins._network import AbandonConnection
-from standins.emulator._records import Run
+from standins.emulator._records import Arrival, Run
 
 WORK_S = 0.03
 # Longer than any client waits for an answer.
@@ -21,6 +21,8 @@
     ``work_s`` is the time that one request takes. While ``says_leaving`` is set, its
     answers say that it leaves. With ``quiet_text`` it turns each request away and asks
     for that many seconds of quiet; ``turned_away`` has the source and time of each.
+    While ``is_down`` is set, the process has exited; ``born`` counts its starts. A
+    replica with ``cut_from_store`` has left without a report.
     """
 
     __slots__ = (
@@ -36,6 +38,9 @@
         "says_leaving",
         "quiet_text",
         "turned_away",
+        "is_down",
+        "cut_from_store",
+        "born",
         "_store",
         "_records",
         "_random",
@@ -54,6 +59,9 @@
         self.says_leaving = False
         self.quiet_text = None
         self.turned_away = []
+        self.is_down = False
+        self.cut_from_store = False
+        self.born = 1
         self._store = store
         self._records = records
         self._random = random.Random(f"{id_}-{seed}")
@@ -70,14 +78,33 @@
             "state": state,
             "coldLeftMs": 0,
             "seq": 1,
-            "born": 1,
+            "born": self.born,
         }
         self._store.put("servers", self.id, entry)
 
+    def leave(self, *, silently=False):
+        """Report that the replica is draining, or only begin to, ``silently``."""
+        self.cut_from_store = silently
+        if not silently:
+            self.publish("draining")
+
+    def exit(self):
+        """End the process; nothing is answered until it starts again."""
+        self.is_down = True
+
+    def restart(self):
+        """Start again under the same id, without the faults of before."""
+        self.is_silent = self.is_down = False
+        self.says_leaving = self.cut_from_store = False
+        self.born += 1
+        self.publish("ready")
+
     async def handle(self, request, reply, source=""):
         """Answer one HTTP request, or refuse it as the faults say."""
         if self.is_silent:
             await asyncio.sleep(SILENCE_S)
+        if self.is_down:
+            raise AbandonConnection
         headers = {name.lower(): value for name, value in request.headers.items()}
         if headers.get("x-pimentogap-expect-replica", self.id) != self.id:
             reply.start(421, {"Content-Length": "0"})
@@ -102,6 +129,7 @@
     async def _run(self, headers, reply):
         attempt_id = headers.get("x-pimentogap-attempt-id", "")
         now = asyncio.get_running_loop().time()
+        self._records.arrivals.append(Arrival(attempt_id, self.id, (), now))
         workspace = headers.get("x-pimentogap-tenant")
         self._records.runs.append(Run(attempt_id, self.id, workspace, now))
         await asyncio.sleep(self.work_s)
@@ -116,5 +144,6 @@
         }
         if self.says_leaving:
             answer["Server-Leaving"] = "1"
+            self._records.leaving_answers.append((attempt_id, self.id))
         reply.start(500 if failed else 200, answer)
         await reply.data(body)
--- a/standins/emulator/_records.py
+++ b/standins/emulator/_records.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request that reached the head of an open group, and its prompt's parts."""
+    """A request that reached a replica that takes it, and its prompt's parts."""
 
     attempt_id: str
     replica: str
@@ -44,8 +44,10 @@
     ``ready_members`` holds the replica, group, epoch and member list of each replica
     that ever became ready. ``loads`` has the start of each load of weights by the
     loop's clock, in s; ``max_concurrent_loads`` is the highest ``loads_in_progress``
-    so far. ``arrivals`` has an `Arrival` for each request that a model replica took,
+    so far. ``arrivals`` has an `Arrival` for each request that a replica took,
     ``crashes`` a `Crash` for each replica that a deadly part ended.
+    ``leaving_answers`` has the attempt and the replica of each answer that says that
+    its replica leaves.
     """
 
     __slots__ = (
@@ -59,6 +61,7 @@
         "max_concurrent_loads",
         "arrivals",
         "crashes",
+        "leaving_answers",
     )
 
     def __init__(self):
@@ -72,6 +75,7 @@
         self.max_concurrent_loads = 0
         self.arrivals = []
         self.crashes = []
+        self.leaving_answers = []
 
     def runs_of(self, attempt_id):
         """Return the runs of one attempt of a caller."""
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -4,7 +4,7 @@
 import json
 import random
 
-from standins._network import split_path
+from standins._network import AbandonConnection, split_path
 from standins.emulator._serving import ModelServer, answer
 
 REJOIN_SAME_MODEL_S = 0.2
@@ -42,7 +42,8 @@
     part of an event each 0.1 s and never completes it. A request with
     one of the ``deadly_parts`` in its prompt crashes the replica when it begins to run;
     while ``is_down``, until the replica is back, nothing listens on its address.
-    ``limit_text`` is what its answers name as the requests a second that it takes.
+    ``limit_text`` is what its answers name as the requests a second that it takes;
+    while ``says_leaving`` is set, they say that it leaves.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "trickles_after",
         "deadly_parts",
         "limit_text",
+        "says_leaving",
         "is_down",
         "running",
         "slots",
@@ -113,6 +115,7 @@
         self.trickles_after = None
         self.deadly_parts = ()
         self.limit_text = None
+        self.says_leaving = False
         self.is_down = False
         self.slots = engine["slots"]
         self.staged = []
@@ -145,6 +148,18 @@
         self._last_model = None
         self.publish()
 
+    def leave(self, *, silently=False):
+        """Report that the replica is draining, or only begin to, ``silently``."""
+        self.state = "draining"
+        self.cut_from_store = silently
+        self.publish()
+
+    def exit(self):
+        """End the process; nothing is answered until it starts again."""
+        self.stop_tasks()
+        self.is_down = True
+        self.place = None
+
     def crash(self, *, down_s=CRASHED_FOR_S):
         """End every request and order at once, and restart ``down_s`` seconds later."""
         self.stop_tasks()
@@ -200,6 +215,8 @@
         """Answer one HTTP request: a report, an order or a request for the model."""
         if self.is_silent:
             await asyncio.sleep(SILENCE_S)
+        if self.is_down:
+            raise AbandonConnection
         path, _ = split_path(request)
         headers = {name.lower(): value for name, value in request.headers.items()}
         expected = headers.get("x-pimentogap-expect-replica", self.id)
--- a/standins/emulator/_serving.py
+++ b/standins/emulator/_serving.py
@@ -63,6 +63,9 @@
         }
         if replica.limit_text is not None:
             head["Server-Limit"] = replica.limit_text
+        if replica.says_leaving:
+            head["Server-Leaving"] = "1"
+            replica.records.leaving_answers.append((attempt_id, replica.id))
         reply.start(200, head)
         events = -(-int(output) // EVENT_TOKENS)
         for number in range(first, events + 1):
--- a/standins/emulator/_slotted.py
+++ b/standins/emulator/_slotted.py
@@ -23,8 +23,6 @@
         "slots",
         "queue",
         "slow_factor",
-        "is_down",
-        "born",
         "state",
         "running",
         "waiting",
@@ -39,8 +37,6 @@
         self.slots = slots
         self.queue = queue
         self.slow_factor = 1.0
-        self.is_down = False
-        self.born = 1
         self.state = "ready"
         self.running = 0
         self.waiting = 0
