--- a/features/platform/drains.feature
+++ b/features/platform/drains.feature
@@ -40,6 +40,27 @@
       | 2       | 3     | 6       |
       | 3       | 3     | 1       |
 
+  # Guards against: a daemon learns late that a server leaves, since the daemon that it
+  # asks has frozen (DRAIN).
+  Scenario Outline: The others learn in time of a removal <after> seconds after <who> freezes
+    Given a platform with 3 plain replicas alone and 9 daemons in three availability zones
+    When look-ups arrive at every daemon, 60 a second
+    And 1 seconds pass
+    And <who> freezes for <after> seconds, which the others do not know
+    And the entries of the first 1 plain replicas are removed
+    And 3 seconds pass
+    Then no plain replica got a request later than 2 seconds after its entry was removed
+
+    Examples:
+      | who        | after |
+      | the leader | 0.0   |
+      | the leader | 0.3   |
+      | the leader | 0.8   |
+      | the relay  | 0.0   |
+      | the relay  | 0.3   |
+      | the relay  | 0.8   |
+      | the relay  | 1.4   |
+
   # Guards against: live replicas are given up because their entries lapsed with the store,
   # or replicas that are gone stay in use for longer than they serve (DRAIN).
   Scenario Outline: Entries that lapsed while the store was away for <away> seconds
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -5,22 +5,35 @@
 
 from behave import given, then, when
 
-from features.steps.daemon_steps import leader_and_others
+from features.steps.daemon_steps import inner_address, leader_and_others
 from features.steps.platform_steps import start_request
 from pimentogap.permits._known import BackendLimit
 from standins.emulator import EmulatedFleet
 
+ZONES = ("z-a", "z-b", "z-c")
 START_S = 4.0
 CONNECT_S = 0.36
 
 
+@given("a platform with {plain:d} plain replicas alone and {daemons:d} daemons")
+def given_plain_platform(context, plain, daemons):
+    _start_platform(context, plain, daemons, ZONES[:1])
+
+
 @given(
-    "a platform with {plain:d} plain replicas alone and {daemons:d} daemons",
+    "a platform with {plain:d} plain replicas alone"
+    " and {daemons:d} daemons in three availability zones"
 )
-def given_plain_platform(context, plain, daemons):
+def given_zoned_platform(context, plain, daemons):
+    _start_platform(context, plain, daemons, ZONES)
+
+
+def _start_platform(context, plain, daemons, zones):
     async def start():
         fleet = EmulatedFleet()
-        await fleet.start(daemons=daemons, domains=0, plain=plain)
+        await fleet.start(daemons=0, domains=0, plain=plain)
+        for index in range(daemons):
+            await fleet.start_daemon(f"front-{index}", zone=zones[index % len(zones)])
         return fleet
 
     context.simulation.fleet = context.simulation.run(start())
@@ -68,11 +81,22 @@
     names = sorted(fleet.kernels_by_name)
     while True:
         for name in names:
+            if inner_address(name) in fleet.frozen_addresses:
+                continue
             request = fleet.send_request("GET", "/look/x", daemon=name)
             context.lookups.append(request)
             await asyncio.sleep(1 / rate)
 
 
+@when("{who} freezes for {seconds:g} seconds, which the others do not know")
+def when_freezes(context, who, seconds):
+    fleet = context.simulation.fleet
+    names = _daemons_named(context, who)
+    fleet.store.faults.silent_sources.update(names)
+    fleet.frozen_addresses.update(inner_address(name) for name in names)
+    context.simulation.wait(seconds)
+
+
 @when("the entries of plain replicas 0 and 1 are removed one second apart")
 def when_two_removed(context):
     _remove_entry(context, "p-0")
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -121,6 +121,7 @@
         "plain_replicas_by_id",
         "kernels_by_name",
         "cut_calls",
+        "frozen_addresses",
         "_call_handlers_by_address",
         "_seed",
         "_request_count",
@@ -134,6 +135,7 @@
         self.plain_replicas_by_id = {}
         self.kernels_by_name = {}
         self.cut_calls = set()
+        self.frozen_addresses = set()
         self._call_handlers_by_address = {}
         self._seed = seed
         self._request_count = 0
@@ -203,7 +205,9 @@
             pool=client,
             codec=PlatformHeaders(),
             peer_transport=LocalCallTransport(
-                self._call_handlers_by_address, self.cut_calls
+                self._call_handlers_by_address,
+                self.cut_calls,
+                self.frozen_addresses,
             ),
             clock=Clock(boot_time=asyncio.get_running_loop().time),
             seed=self._seed,
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -124,15 +124,23 @@
 class LocalCallTransport:
     """Calls between daemons of one process, with the interface of `GrpcTransport`."""
 
-    __slots__ = ("_call_handlers_by_address", "_cut_calls", "_own_address")
+    __slots__ = (
+        "_call_handlers_by_address",
+        "_cut_calls",
+        "_frozen_addresses",
+        "_own_address",
+    )
 
-    def __init__(self, call_handlers_by_address, cut_calls):
-        """Create a transport; all daemons share both arguments.
+    def __init__(self, call_handlers_by_address, cut_calls, frozen_addresses):
+        """Create a transport; all daemons share the arguments.
 
         :param cut_calls: pairs of a caller's and a callee's address whose calls fail.
+        :param frozen_addresses: addresses at which calls get no answer, those in
+            progress too.
         """
         self._call_handlers_by_address = call_handlers_by_address
         self._cut_calls = cut_calls
+        self._frozen_addresses = frozen_addresses
         self._own_address = None
 
     async def listen(self, address, accept_session, answer_call):
@@ -148,12 +156,18 @@
         """Call ``service`` of the daemon at ``address`` and return its answer.
 
         :raises PeerUnreachable: if no daemon listens on ``address``.
+        :raises ResponseLost: if the daemon is frozen, after ``timeout_s``.
         """
+        began_at = asyncio.get_running_loop().time()
         handler = self._call_handlers_by_address.get(address)
         if handler is None or (self._own_address, address) in self._cut_calls:
             raise PeerUnreachable(address)
         await asyncio.sleep(CONNECT_DELAY_S)
         answer = await handler(service, body)
+        if address in self._frozen_addresses:
+            passed_s = asyncio.get_running_loop().time() - began_at
+            await asyncio.sleep(max(0.0, timeout_s - passed_s))
+            raise ResponseLost(f"{address} did not answer {service} in {timeout_s} s")
         if not isinstance(answer, SharedAnswer):
             answer = SharedAnswer(answer)
         # Encoded as on the wire, so that the caller gets a copy of its own.
