--- a/features/platform/drains.feature
+++ b/features/platform/drains.feature
@@ -114,3 +114,13 @@
     And 1 seconds pass
     Then plain replica 0 has run nothing
     And the booking was answered
+
+  # Guards against: a request is held beyond its deadline for news after a pause.
+  Scenario: A request that a pause kept from being sent is refused by its deadline
+    Given a platform with 3 plain replicas alone and 4 daemons
+    When a daemon other than the leader hears nothing, and version 2 removes every key
+    And it has a booking for plain replica 0, which waits for a connection
+    And 0.3 seconds pass
+    And its process turns out to have been paused for 5 seconds
+    And 0.94 seconds pass
+    Then the booking was refused as not run
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -272,3 +272,8 @@
 @then("the booking was answered")
 def then_booking_answered(context):
     assert context.waiting.response.status == 200, context.waiting.response.status
+
+
+@then("the booking was refused as not run")
+def then_booking_refused(context):
+    assert context.waiting.response.status == 503, context.waiting.response.status
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -217,7 +217,7 @@
     async def _try_backends(self, request, admitted, attempts, deadline):
         outcome = None
         while True:
-            if not await self._pauses.wait_until_current():
+            if not await self._pauses.wait_until_current(give_up_at=deadline):
                 return outcome or Paused()
             model = request.needs.model if admitted.route.carries_model else ""
             choice = self._placement.choose(
--- a/pimentogap/pauses/_service.py
+++ b/pimentogap/pauses/_service.py
@@ -1,5 +1,7 @@
 """The service that notices that the process did not run for some seconds."""
 
+import math
+
 from logbook import Logger
 
 from pimentogap.kernel import RestartOnError
@@ -46,16 +48,18 @@
     async def stop(self):
         """Do nothing; the kernel ends the task."""
 
-    async def wait_until_current(self):
+    async def wait_until_current(self, *, give_up_at=math.inf):
         """Wait until the daemon is up to date; return whether a request may run.
 
         It returns at once unless the process has just been paused.
+
+        :param give_up_at: waits no longer, in seconds of the runtime's clock.
         """
         self._notice_pause()
         if self._resumed_at is None:
             return True
         clock = self._kernel.clock
-        give_up_at = clock.time() + MAX_HOLD_S
+        give_up_at = min(give_up_at, clock.time() + MAX_HOLD_S)
         while not self._is_current():
             if clock.time() >= give_up_at:
                 return False
