--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -108,3 +108,14 @@
     And the store is up
     And 4 seconds pass
     Then the version in force is 2
+
+  # Guards against: a caller whose request meets a daemon that has just started spends its
+  # only retry at once, on another one that has just started.
+  Scenario: A daemon that knows no configuration yet says when to come back
+    Given a platform with 1 fabric domains of 8 replicas and 3 daemons
+    When the store is silent
+    And every daemon is killed and started again
+    And 0.5 seconds pass
+    And 5 look-ups are requested
+    And 0.1 seconds pass
+    Then each look-up is refused with 503 and asked to return within 0.1 to 0.5 seconds
--- a/features/steps/platform_request_steps.py
+++ b/features/steps/platform_request_steps.py
@@ -233,3 +233,26 @@
     for stream in context.streams:
         for run in context.simulation.fleet.records.runs_of(stream.id):
             assert run.workspace == "w1", run
+
+
+@then(
+    "each look-up is refused with 503 and asked to return within"
+    " {least:g} to {most:g} seconds"
+)
+def then_lookups_return(context, least, most):
+    for lookup in context.lookups:
+        assert lookup.response.status == 503, lookup.response.status
+        after_s = float(lookup.response.headers.get("retry-after", "0"))
+        assert least <= after_s <= most, after_s
+
+
+@then("no stream is complete")
+def then_none_complete(context):
+    complete = [stream.id for stream in context.streams if stream.response.is_finished]
+    assert not complete, complete
+
+
+@then('the log has no line "{event}"')
+def then_no_line(context, event):
+    lines = [record.kwargs for record in context.log.records if record.msg == event]
+    assert not lines, lines
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -29,6 +29,7 @@
     STATUS_BY_REASON,
     Admitted,
     Rejected,
+    RejectReason,
     admit,
     is_stream,
 )
@@ -51,6 +52,8 @@
 EXTRA_ATTEMPTS = 2
 # Another daemon can serve the request at once.
 RETRY_AFTER_STOPPING_S = 0.05
+# A daemon that starts again has read the configuration by then.
+RETRY_AFTER_START_S = 0.2
 # A prompt part that crashes backend servers does so when it begins to write; one that
 # was written on for this long is sound.
 SURVIVED_S = 0.5
@@ -167,6 +170,14 @@
                 return
             configuration = self._configuration.current
             match admit(configuration, request, self._kernel.random):
+                case Rejected(RejectReason.NO_CONFIGURATION as reason):
+                    self._responder.refuse(
+                        request,
+                        None,
+                        STATUS_BY_REASON[reason],
+                        reason.value,
+                        retry_after_s=RETRY_AFTER_START_S,
+                    )
                 case Rejected(reason):
                     status = STATUS_BY_REASON[reason]
                     self._responder.refuse(request, None, status, reason.value)
