--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -74,6 +74,17 @@
     Then every stream is complete, with each event exactly once
     And no stream had more than 2 attempts
 
+  # Guards against: a group that is only slow is left out, by the daemon and the leader, for
+  # each of its streams that reaches the deadline, and callers are refused meanwhile.
+  Scenario: A slow but sound stream that reaches its deadline makes no backend server suspect
+    Given the log is captured
+    When 3 streams of model large are requested
+    And 0.1 seconds pass
+    And every replica of the model service is 12 times slower
+    And 8.5 seconds pass
+    Then no stream is complete
+    And the log has no line "backend suspect"
+
   Scenario: Streams of a model that is slow everywhere stay where they are (overload)
     When 30 streams of model large arrive each second for 8 seconds
     And 9 seconds pass
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -346,7 +346,7 @@
             attempts.possible_runs -= 1
         if attempts.first_event_at is None:
             attempts.first_event_at = receiver.first_event_at
-        self._update_health(request, backend, load, outcome, receiver)
+        self._update_health(request, admitted, backend, load, outcome, receiver)
         await self._report_parts(request, admitted, backend, outcome, receiver)
         return outcome
 
@@ -492,9 +492,18 @@
                     admitted.service, parts, backend, request.needs.attempt_id
                 )
 
-    def _update_health(self, request, backend, load, outcome, receiver):
+    def _update_health(self, request, admitted, backend, load, outcome, receiver):
         now = self._kernel.clock.time()
+        latency = self._placement.latency(admitted.service, request.needs.model)
         match outcome:
+            case TimedOut() if now < stalled_at(
+                admitted.route, receiver, load, latency, now
+            ):
+                log.info(
+                    "deadline reached by a slow answer",
+                    backend=backend.id,
+                    id=request.needs.attempt_id,
+                )
             case NotSent() | Lost() | Stalled() | TimedOut():
                 load.suspect(now)
                 # Idle connections to it may be dead as well.
