--- a/features/steps/platform_request_steps.py
+++ b/features/steps/platform_request_steps.py
@@ -141,9 +141,19 @@
     context.simulation.fleet.plain_replicas_by_id[f"p-{index}"].is_silent = True
 
 
+@then("the last {count:d} streams are complete, with each event exactly once")
+def then_last_streams_complete(context, count):
+    check_complete(context.streams[-count:])
+
+
 @then("every stream is complete, with each event exactly once")
 def then_streams_complete(context):
-    for stream in context.streams:
+    check_complete(context.streams)
+
+
+def check_complete(streams):
+    """Check that each of ``streams`` ended with every event once, in order."""
+    for stream in streams:
         assert stream.response.is_finished, (stream.id, stream.response.status)
         assert stream.events() == list(range(1, 28)), stream.events()
 
--- a/pimentogap/formation/_demand.py
+++ b/pimentogap/formation/_demand.py
@@ -43,6 +43,11 @@
             average = self._busy_by_model.get(model, busy)
             self._busy_by_model[model] = average + weight * (busy - average)
 
+    @property
+    def busy_by_model(self):
+        """Return the averaged busy groups of each model."""
+        return dict(self._busy_by_model)
+
     def overloaded_models(self, open_groups_by_model):
         """Return the names of the models whose open groups have no free slots.
 
@@ -114,6 +119,11 @@
             }
         )
 
+    def busy_by_model(self, service):
+        """Return the averaged busy groups of each model of ``service``."""
+        demand = self._demand_by_service.get(service.name)
+        return demand.busy_by_model if demand is not None else {}
+
     def clear_gauges(self):
         """Remove the gauges, which only the leader may export."""
         for name in (OPEN_GROUPS, BUSY_GROUPS):
--- a/pimentogap/formation/_plan.py
+++ b/pimentogap/formation/_plan.py
@@ -1,6 +1,6 @@
 """Plans which backend servers form which model groups."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentogap.types import BackendState
 
@@ -13,12 +13,14 @@
     """A group to form for ``model``; the first of ``members`` is its head.
 
     ``loads`` counts the members that must load the weights from the weight store, or
-    do so already.
+    do so already. ``is_surplus`` says that an overloaded model gets a group beyond its
+    target, of the spares that the fabric domain keeps otherwise.
     """
 
     model: object
     members: tuple
     loads: int
+    is_surplus: bool = False
 
 
 def target_counts(engine, sizes_by_domain, group_shares, *, spares):
@@ -135,7 +137,9 @@
         needed = spec.size + (0 if may_use_spares else spares + 1)
         group = _cheapest_group(spec, free_by_domain, weights, needed, spares, now)
         if group is not None:
-            return group
+            left = len(free_by_domain[group.members[0].domain]) - spec.size
+            is_surplus = not is_below_target(spec) and left < spares
+            return replace(group, is_surplus=is_surplus)
     return None
 
 
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -17,6 +17,7 @@
     plan_groups,
     target_counts,
 )
+from pimentogap.formation._surplus import SurplusGroups
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
@@ -76,6 +77,7 @@
         "_dissolving_since_by_key",
         "_demand",
         "_loads",
+        "_surplus",
         "_list_size",
         "_list_size_since",
     )
@@ -93,6 +95,7 @@
         self._configuration = None
         self._demand = None
         self._loads = WeightLoads(settings)
+        self._surplus = None
         self._list_size = 0
         self._list_size_since = 0.0
         self._term = 0
@@ -111,6 +114,7 @@
         self._free_since_by_id = {}
         self._dissolving_since_by_key = {}
         self._demand = DemandMeter(self._kernel)
+        self._surplus = SurplusGroups()
 
     async def start(self, kernel):
         """Start the task that forms and repairs groups while the lease is held."""
@@ -224,6 +228,12 @@
                 size = sizes_by_domain.get(backend.domain, 0)
                 sizes_by_domain[backend.domain] = size + 1
         group_shares = self._demand.group_shares(service, now)
+        self._surplus.update(
+            groups.keys() | self._forming_by_key.keys(),
+            self._demand.busy_by_model(service),
+            counts,
+            now,
+        )
         # Targets follow the configuration; measured shares decide the order among
         # models and who gets backend servers beyond the targets.
         targets = target_counts(
@@ -281,6 +291,9 @@
             self._losses.is_lost(item.id) for item in group.members_by_rank.values()
         )
         if complete:
+            if self._surplus.is_closing(key):
+                self._give_back(group)
+                return False
             if group.head.membership.state is MemberState.READY:
                 self._orders.send(group.head, OpenGroup(group.name, group.epoch))
             else:
@@ -294,6 +307,15 @@
         self._dissolve(group)
         return False
 
+    def _give_back(self, group):
+        """Close a complete group once its requests have ended, and let it leave."""
+        head = group.head
+        if head.membership.state is MemberState.OPEN:
+            self._orders.send(head, CloseGroup(group.name, group.epoch, False))
+            return
+        for member in group.members_by_rank.values():
+            self._orders.send(member, LeaveGroup(group.name, group.epoch))
+
     def _can_adopt(self, group, spec):
         """Return whether a group that is not being formed may still become complete."""
         members = group.members_by_rank
@@ -399,11 +421,14 @@
                 now=now,
             )
             self._forming_by_key[(name, epoch)] = forming
+            if planned.is_surplus:
+                self._surplus.add((name, epoch), planned.model.name)
             log.info(
                 "forming group",
                 group=name,
                 members=forming.members,
                 loads=planned.loads,
+                of_spares=planned.is_surplus,
                 list_rev=self._directory.revision,
                 term=self._term,
             )
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -11,6 +11,7 @@
 # Multiplies the load time until the first request runs.
 INITIAL_LOAD_FACTOR = 0.1
 PUBLISH_LAG_S = 0.05
+CLOSING_CHECK_INTERVAL_S = 0.05
 # Longer than any client waits for an answer.
 SILENCE_S = 3600.0
 CRASHED_FOR_S = 3.0
@@ -340,10 +341,20 @@
             return 409
         if place.state != "open":
             return 200
-        place.state = "ready"
+        place.state = "closing" if order.get("closeMode") == "queue" else "ready"
         self._advance_seq()
+        if place.state == "closing":
+            self._start_task(self._finish_closing(place))
         return 202
 
+    async def _finish_closing(self, place):
+        """Return to ready once the requests that run have ended."""
+        while self.running and self.place is place:
+            await asyncio.sleep(CLOSING_CHECK_INTERVAL_S)
+        if self.place is place:
+            place.state = "ready"
+            self.publish()
+
     def _leave(self, order):
         if self._place_if_current(order) is None:
             return 200
