--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -7,6 +7,7 @@
 from pimentogap.directory import MODEL_SEPARATOR, build_group_views, group_name
 from pimentogap.formation._absences import AbsenceProber
 from pimentogap.formation._demand import DemandMeter
+from pimentogap.formation._endings import GroupEndings
 from pimentogap.formation._forming import FormingGroup
 from pimentogap.formation._loads import WeightLoads
 from pimentogap.formation._losses import LossDetector
@@ -21,7 +22,6 @@
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
     BackendState,
-    CloseGroup,
     JoinGroup,
     LeaveGroup,
     MemberState,
@@ -39,9 +39,7 @@
 FIRST_LIST_TIMEOUT_S = 5.0
 # Epochs reserved for each term, so that those of a later term are always greater.
 EPOCHS_PER_TERM = 100000
-SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
 LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
-DISSOLVING_WAIT_S = 1.0
 # Members of a dissolved group that hold its weights are not given others to stage for
 # this long, about as long as a load takes.
 KEEP_WEIGHTS_S = 15.0
@@ -74,7 +72,7 @@
         "_absences",
         "_present_by_id",
         "_free_since_by_id",
-        "_dissolving_since_by_key",
+        "_endings",
         "_demand",
         "_loads",
         "_surplus",
@@ -109,10 +107,10 @@
         self._orders = OrderSender(self._kernel, self._engines, term)
         self._loads.begin_term(term, self._orders)
         self._losses = LossDetector(self._kernel, self._engines)
+        self._endings = GroupEndings(self._kernel.clock, self._orders, self._losses)
         self._absences = AbsenceProber(self._kernel, self._engines)
         self._present_by_id = {}
         self._free_since_by_id = {}
-        self._dissolving_since_by_key = {}
         self._demand = DemandMeter(self._kernel)
         self._surplus = SurplusGroups()
 
@@ -209,7 +207,7 @@
                 del self._forming_by_key[key]
         counts = Counter(models_by_key.values())
         now = self._kernel.clock.time()
-        dissolving = self._dissolving_domains(groups, now)
+        dissolving = self._endings.dissolving_domains(groups, now)
         free = [
             backend
             for backend in backends
@@ -254,23 +252,6 @@
         spares = [backend for backend in free if backend.id not in reserved_ids]
         self._loads.stage_on_spares(service, spares, groups.values())
 
-    def _dissolving_domains(self, groups, now):
-        """Return the domains in which members are just leaving a dissolved group.
-
-        These members hold the weights, so a repair waits for them for a moment
-        instead of using spares.
-        """
-        since_by_key = self._dissolving_since_by_key
-        for key in [key for key in since_by_key if key not in groups]:
-            del since_by_key[key]
-        return {
-            member.domain
-            for key, since in since_by_key.items()
-            if now - since < DISSOLVING_WAIT_S
-            for member in groups[key].members_by_rank.values()
-            if not self._losses.is_lost(member.id)
-        }
-
     def _record_last_models(self, backends):
         for backend in backends:
             membership = backend.membership
@@ -292,7 +273,7 @@
         )
         if complete:
             if self._surplus.is_closing(key):
-                self._give_back(group)
+                self._endings.give_back(group)
                 return False
             if group.head.membership.state is MemberState.READY:
                 self._orders.send(group.head, OpenGroup(group.name, group.epoch))
@@ -304,18 +285,9 @@
         if spec is not None and self._can_adopt(group, spec):
             self._adopt(service, group, spec)
             return False
-        self._dissolve(group)
+        self._endings.dissolve(group)
         return False
 
-    def _give_back(self, group):
-        """Close a complete group once its requests have ended, and let it leave."""
-        head = group.head
-        if head.membership.state is MemberState.OPEN:
-            self._orders.send(head, CloseGroup(group.name, group.epoch, False))
-            return
-        for member in group.members_by_rank.values():
-            self._orders.send(member, LeaveGroup(group.name, group.epoch))
-
     def _can_adopt(self, group, spec):
         """Return whether a group that is not being formed may still become complete."""
         members = group.members_by_rank
@@ -346,37 +318,6 @@
         self._forming_by_key[(group.name, group.epoch)] = forming
         log.info("group adopted", group=group.name, members=forming.members)
 
-    def _dissolve(self, group):
-        """Order the members of a group that cannot serve to leave it.
-
-        An open head is closed first. If a member drains and none is lost, running
-        requests may end before anyone leaves; else the head is closed with
-        ``preempt``, and the other members leave without waiting for it. No member
-        joins another group before the backend list shows that it has left: the list
-        may be older than the state of the head, and a head that is not listed may
-        still be open.
-        """
-        now = self._kernel.clock.time()
-        self._dissolving_since_by_key.setdefault((group.name, group.epoch), now)
-        members = group.members_by_rank.values()
-        lost = any(self._losses.is_lost(item.id) for item in members)
-        draining = any(item.state is BackendState.DRAINING for item in members)
-        head = group.head
-        if head is not None and not self._losses.is_lost(head.id):
-            if head.membership.state is MemberState.OPEN:
-                preempt = lost or not draining
-                self._orders.send(head, CloseGroup(group.name, group.epoch, preempt))
-                if not preempt:
-                    return
-            elif head.membership.state is MemberState.CLOSING and not lost:
-                return
-        for member in members:
-            if self._losses.is_lost(member.id) or (
-                member is head and head.membership.state in SERVING_STATES
-            ):
-                continue
-            self._orders.send(member, LeaveGroup(group.name, group.epoch))
-
     def _form(self, service, free, counts, targets, group_shares, *, served):
         """Form the planned groups; load weights for those that lack some.
 
