--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -39,6 +39,7 @@
     Given a server that answers each request and then sends <bytes>
     When two attempts with different ids are made, one after the other
     Then the outcomes are Delivered and Delivered, each on a connection of its own
+    And the surplus bytes of each are logged at most once, and those of the first are
 
     Examples:
       | bytes                         |
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 from behave import given, then, when
 
 from features.steps.platform_steps import start_request
@@ -253,9 +254,13 @@
     pool = BackendPool()
     context.calls = [RecordedCall(attempt_id) for attempt_id in ids]
     context.outcomes = []
-    for call in context.calls:
-        context.outcomes.append(await attempt(context, pool, f"{host}:{port}", call))
-        await asyncio.sleep(getattr(context, "idle_s", 0))
+    with logbook.TestHandler().contextbound() as logged:
+        for call in context.calls:
+            context.outcomes.append(
+                await attempt(context, pool, f"{host}:{port}", call)
+            )
+            await asyncio.sleep(getattr(context, "idle_s", 0))
+    context.events = [record.message for record in logged.records]
     context.connections_opened = pool.connections_opened
     context.idle_count = pool.idle_count
     pool.close()
@@ -306,6 +311,13 @@
     assert context.connections_opened == 2, context.connections_opened
 
 
+@then("the surplus bytes of each are logged at most once, and those of the first are")
+def then_logged(context):
+    count = context.events.count("surplus bytes on connection")
+    # The connection of the second is not looked at again after its answer.
+    assert 1 <= count <= 2, context.events
+
+
 @then("all were delivered on {count:d} connections")
 def then_all_delivered(context, count):
     names = {type(outcome).__name__ for outcome in context.outcomes}
--- a/pimentogap/web/_connect.py
+++ b/pimentogap/web/_connect.py
@@ -18,15 +18,22 @@
 
     def is_quiet(self):
         """Return whether the server neither closed nor sent anything unread."""
-        if self.closed() or self._read_buffer_size:
+        return not self.closed() and not self._read_buffer_size and self._peek() is None
+
+    def has_unread(self):
+        """Return whether the server sent more than has been read."""
+        if self.closed():
             return False
+        return bool(self._read_buffer_size or self._peek())
+
+    def _peek(self):
+        """Return the socket's next byte, empty at the end, ``None`` if none came."""
         try:
-            self.socket.recv(1, socket.MSG_PEEK)
+            return self.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b""
 
 
 async def connect(address):
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -192,7 +192,7 @@
                 stream, line, _fields(method, headers, body), body, receiver, reused
             )
         finally:
-            if idle_limit_s > 0 and attempt_id and stream.is_quiet():
+            if idle_limit_s > 0 and attempt_id and _is_reusable(stream, address):
                 self._store_idle(address, connection, idle_limit_s)
             else:
                 stream.close()
@@ -262,7 +262,7 @@
         now = asyncio.get_running_loop().time()
         for connection in list(reversed(idle)):
             stream = connection.stream
-            is_usable = now < connection.expires_at and stream.is_quiet()
+            is_usable = now < connection.expires_at and _is_reusable(stream, address)
             if is_usable and not connection.can_carry(attempt_id):
                 continue
             idle.remove(connection)
@@ -288,6 +288,13 @@
         stream.set_close_callback(remove_idle)
 
 
+def _is_reusable(stream, address):
+    """Return whether ``stream`` is open and brought no more than was asked for."""
+    if stream.has_unread():
+        log.info("surplus bytes on connection", address=address)
+    return stream.is_quiet()
+
+
 def _fields(method, headers, body):
     fields = HTTPHeaders()
     for name, value in headers:
