--- a/features/platform/calls.feature
+++ b/features/platform/calls.feature
@@ -9,6 +9,7 @@
     Given an answer with 500 backend servers
     Then its compressed encoding is less than a quarter as long as the plain one
     And both decode to the same answer
+    And both decode with the fields of each caller added
 
   Scenario Outline: A malformed answer is refused
     Then the answer <what> is refused as malformed
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from pimentogap.calls import SharedAnswer, decode_answer
+from pimentogap.calls import PersonalAnswer, SharedAnswer, decode_answer
 from pimentogap.errors import ResponseLost
 from pimentogap.peers.grpc import GrpcTransport
 
@@ -73,6 +73,15 @@
         assert decoded == context.shared_answer.plain
 
 
+@then("both decode with the fields of each caller added")
+def then_own_fields(context):
+    shared = context.shared_answer
+    for flag in (False, True):
+        for own in ({"known_s": -0.5}, {"known_s": 1.25}):
+            decoded = decode_answer(PersonalAnswer(shared, own).encode(flag))
+            assert decoded == shared.plain | own
+
+
 @then("the answer {what} is refused as malformed")
 def then_refused(context, what):
     compressed = SharedAnswer({"numbers": list(range(2000))}).encode(True)
--- a/pimentogap/calls/__init__.py
+++ b/pimentogap/calls/__init__.py
@@ -1,6 +1,17 @@
 """Calls between daemons, addressed by name."""
 
-from pimentogap.calls._answers import COMPRESSION, SharedAnswer, decode_answer
+from pimentogap.calls._answers import (
+    COMPRESSION,
+    PersonalAnswer,
+    SharedAnswer,
+    decode_answer,
+)
 from pimentogap.calls._service import CallService
 
-__all__ = ["COMPRESSION", "CallService", "SharedAnswer", "decode_answer"]
+__all__ = [
+    "COMPRESSION",
+    "CallService",
+    "PersonalAnswer",
+    "SharedAnswer",
+    "decode_answer",
+]
--- a/pimentogap/calls/_answers.py
+++ b/pimentogap/calls/_answers.py
@@ -41,8 +41,32 @@
         return self._compressed
 
 
+class PersonalAnswer:
+    """A `SharedAnswer` with ``fields`` for one of its callers, as a dictionary.
+
+    The shared part, a dictionary too, is not encoded again.
+    """
+
+    __slots__ = ("shared", "fields")
+
+    def __init__(self, shared, fields):
+        self.shared = shared
+        self.fields = fields
+
+    def encode(self, compressed):
+        """Return the answer as bytes.
+
+        :param compressed: whether the caller can decompress it.
+        """
+        shared = self.shared.encode(compressed)
+        own = json.dumps(self.fields, separators=(",", ":")).encode()
+        if shared[:1] == bytes([ZLIB_FIRST_BYTE]):
+            return shared + own
+        return own[:-1] + b"," + shared[1:] if len(shared) > 2 else own
+
+
 def decode_answer(data):
-    """Return the plain data that `SharedAnswer.encode` turned into ``data``.
+    """Return the plain data that ``encode`` of an answer turned into ``data``.
 
     :raises ValueError: if ``data`` is malformed or exceeds `MAX_ANSWER_BYTES`.
     """
@@ -54,4 +78,6 @@
             raise ValueError(str(error))
         if not decompressor.eof:
             raise ValueError("the compressed answer is cut off or too large")
+        if decompressor.unused_data:
+            return json.loads(data) | json.loads(decompressor.unused_data)
     return json.loads(data)
--- a/pimentogap/errors.py
+++ b/pimentogap/errors.py
@@ -67,6 +67,10 @@
     """No complete response arrived within the time limit."""
 
 
+class CopyNotFresh(ResponseLost):
+    """Another daemon has no copy of a collection that is fresh enough to pass on."""
+
+
 class BackendRefused(PimentogapError):
     """A backend server answered that it did not run the request."""
 
--- a/pimentogap/pauses/_service.py
+++ b/pimentogap/pauses/_service.py
@@ -76,7 +76,7 @@
         if resumed_at is None:
             return True
         relay = self._kernel.get("relay")
-        in_doubt_s = self._kernel.clock.time() - resumed_at
+        in_doubt_s = self._kernel.clock.boot_time() - resumed_at
         confirmed = all(
             relay.has_news(collection, resumed_at) for collection in self._collections
         )
@@ -91,7 +91,7 @@
         paused_s = now - self._ticked_at
         self._ticked_at = now
         if paused_s >= PAUSE_S:
-            self._resumed_at = self._kernel.clock.time()
+            self._resumed_at = now
             self._kernel.get("relay").require_news(self._resumed_at)
             log.warning("process was paused", paused_s=round(paused_s, 3))
 
--- a/pimentogap/peers/grpc.py
+++ b/pimentogap/peers/grpc.py
@@ -12,7 +12,12 @@
 from grpclib.server import Server
 from logbook import Logger
 
-from pimentogap.calls import COMPRESSION, SharedAnswer, decode_answer
+from pimentogap.calls import (
+    COMPRESSION,
+    PersonalAnswer,
+    SharedAnswer,
+    decode_answer,
+)
 from pimentogap.errors import PeerRefused, PeerUnreachable, ResponseLost
 from pimentogap.peers._encoding import decode_frame, encode_frame
 from pimentogap.peers.proto.peers_grpc import FleetBase, FleetStub
@@ -215,7 +220,7 @@
         self._authenticate(stream)
         request = await stream.recv_message()
         answer = await self._answer_call(request.service, json.loads(request.body))
-        if not isinstance(answer, SharedAnswer):
+        if not isinstance(answer, SharedAnswer | PersonalAnswer):
             answer = SharedAnswer(answer)
         compressed = stream.metadata.get(ACCEPT_HEADER) == COMPRESSION
         await stream.send_message(CallReply(body=answer.encode(compressed)))
--- a/pimentogap/permits/_bulletin.py
+++ b/pimentogap/permits/_bulletin.py
@@ -21,8 +21,8 @@
 REPORT_CALL = "named_limits"
 REPORT_TIMEOUT_S = 0.4
 REPORT_RETRY_DELAY_S = 0.25
-# The list changes rarely, and whoever gets an answer learns the limit by itself.
-WATCH_WAIT_S = 5.0
+# A watch that the store lost is noticed in the time in which all daemons must know.
+WATCH_WAIT_S = 2.5
 
 
 class LimitBulletin:
--- a/pimentogap/quarantine/_service.py
+++ b/pimentogap/quarantine/_service.py
@@ -34,6 +34,8 @@
 # What daemons decide without a leader holds this long; a new leader acts before.
 PROVISIONAL_S = 10.0
 MAX_PARTS_PER_REQUEST = 32
+# A watch that the store lost is noticed in the time in which all daemons must know.
+WATCH_WAIT_S = 2.5
 MAX_REPORTED_KEYS = 256
 ALLOWED = Allowed()
 
@@ -111,7 +113,9 @@
         calls = kernel.get("calls")
         calls.register(REPORT_CALL, self._judge.answer_reports)
         calls.register(TRIAL_CALL, self._judge.answer_trial)
-        kernel.get("relay").follow(COLLECTION, self._apply_update)
+        kernel.get("relay").follow(
+            COLLECTION, self._apply_update, watch_wait_s=WATCH_WAIT_S
+        )
         for task in (
             self._reports.send,
             self._reports.repeat_to_new_leader,
--- a/pimentogap/relay/_changes.py
+++ b/pimentogap/relay/_changes.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass
 
+from pimentogap.relay._freshness import KnownAt
 from pimentogap.store import Change, Revision, Stored
 
 MAX_CHANGES = 1000
@@ -14,7 +15,8 @@
 
     It holds all ``objects`` if ``is_snapshot``, else the ``changes`` since the
     previous read. ``store_contact_s`` is the time in seconds for which the store is
-    known to have answered without a gap.
+    known to have answered without a gap. ``known`` is the `KnownAt` of a copy to which
+    the update was applied.
     """
 
     is_snapshot: bool
@@ -22,6 +24,12 @@
     objects: tuple
     revision: int
     store_contact_s: float
+    known: KnownAt
+
+    @property
+    def has_news(self):
+        """Return whether it may change the copy to which it is applied."""
+        return self.is_snapshot or bool(self.changes)
 
 
 class ChangeLog:
@@ -85,7 +93,7 @@
 
 
 def dump(update):
-    """Return ``update`` as plain data that JSON can express."""
+    """Return ``update`` without its ``known`` as plain data that JSON can express."""
     return {
         "whole": update.is_snapshot,
         "changes": [
@@ -98,9 +106,10 @@
     }
 
 
-def load(data):
+def load(data, known):
     """Return the `CollectionUpdate` that `dump` turned into ``data``.
 
+    :param known: its `KnownAt`, which depends on who asked when.
     :raises KeyError, TypeError, ValueError: if ``data`` is malformed.
     """
     return CollectionUpdate(
@@ -109,6 +118,7 @@
         tuple(_stored(n, v, value) for n, v, value in data["objects"]),
         Revision(data["revision"]),
         float(data["regained_s"]),
+        known,
     )
 
 
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -6,16 +6,23 @@
 
 from logbook import Logger
 
-from pimentogap.calls import SharedAnswer
 from pimentogap.errors import (
+    CopyNotFresh,
     PeerUnreachable,
     ResponseLost,
     StoreError,
     WatchCompacted,
 )
 from pimentogap.kernel import RestartOnError
-from pimentogap.relay._changes import ChangeLog, CollectionUpdate, dump, load
+from pimentogap.relay._answering import KNOWN_FIELD, ChangesAnswerer
+from pimentogap.relay._changes import CollectionUpdate, load
 from pimentogap.relay._contact import REREGISTRATION_S
+from pimentogap.relay._freshness import FRESHNESS_SLACK_S, KnownAt
+from pimentogap.relay._subscription import (
+    CATCH_UP_WAIT_S,
+    WATCH_WAIT_S,
+    Subscription,
+)
 from pimentogap.store import Revision
 
 log = Logger("relay")
@@ -25,29 +32,24 @@
 # Pause between two reads, so that changes close together cost a single call.
 BATCH_INTERVAL_S = 0.3
 LEADER_BATCH_INTERVAL_S = 0.15
-# Longest wait of a watch; it bounds how long a watch that the store accepted but
-# lost goes unnoticed.
-WATCH_WAIT_S = 1.5
 # A change of the daemons that is noticed late does no harm.
 DAEMONS_WATCH_WAIT_S = 10.0
-# After a failure a watch hardly waits: the first one that the store answers brings
-# the daemon up to date, well within the 3 s that the platform allows.
-CATCH_UP_WAIT_S = 0.05
 # Longest wait of a relay for a change; it bounds how long a silent relay goes
 # unnoticed. Relays ask the leader more often, since daemons wait for them in turn.
-RELAY_WAIT_S = 1.0
-RELAY_TIMEOUT_S = 1.6
-LEADER_WAIT_S = 0.5
-LEADER_TIMEOUT_S = 0.9
+RELAY_WAIT_S = 1.3
+RELAY_TIMEOUT_S = 1.9
+LEADER_WAIT_S = 0.8
+LEADER_TIMEOUT_S = 1.2
 # A whole collection takes longer than changes, on a link that others use as well.
 RELAY_SNAPSHOT_TIMEOUT_S = 4.0
-# Daemons that ask within this time for the changes since the same revision get the
-# same answer, so that it is encoded once.
-SHARED_ANSWER_S = 0.3
-# A relay passes nothing on if its last answer from the store is older than this.
-FRESHNESS_LIMIT_S = 1.4
+# A copy this much older than the end of a pause is as recent as what other daemons
+# that read the store pass on.
+MAX_NEWS_AGE_S = WATCH_WAIT_S + FRESHNESS_SLACK_S
 # A relay that failed is not asked again for this long.
 RELAY_COOLDOWN_S = 5.0
+# The same for one that had nothing fresh: it answers at once, and may have again after
+# the store's next answer.
+STALE_RELAY_COOLDOWN_S = 2.0
 RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 0.5
 # At the first start of the fleet, all daemons register within this time, and only then
@@ -63,41 +65,6 @@
 MAX_DIRECT_STARTS = 20
 
 
-class Subscription:
-    """A collection that the daemon follows, with its contents and its source."""
-
-    __slots__ = (
-        "collection",
-        "apply",
-        "changes",
-        "changed",
-        "unavailable_since",
-        "cooldown_until_by_relay",
-        "reads_store",
-        "confirmed_at",
-        "read_began_at",
-        "store_answers_since",
-        "watch_wait_s",
-        "answers_by_since",
-        "answers_until",
-    )
-
-    def __init__(self, collection, apply, watch_wait_s):
-        self.collection = collection
-        self.watch_wait_s = watch_wait_s
-        self.apply = apply
-        self.changes = ChangeLog()
-        self.changed = asyncio.Event()
-        self.unavailable_since = None
-        self.cooldown_until_by_relay = {}
-        self.reads_store = False
-        self.confirmed_at = -math.inf
-        self.read_began_at = -math.inf
-        self.store_answers_since = math.inf
-        self.answers_by_since = {}
-        self.answers_until = 0.0
-
-
 class RelayService:
     """Keeps collections of the store up to date for the daemon's other services.
 
@@ -148,7 +115,13 @@
         self._contact = kernel.get("store_contact")
         self._calls = kernel.get("calls")
         self._daemons = kernel.get("daemons")
-        self._calls.register(CHANGES_CALL, self._answer_changes)
+        answerer = ChangesAnswerer(
+            kernel.clock,
+            self._daemons,
+            self._subscriptions_by_collection,
+            max_wait_s=RELAY_WAIT_S,
+        )
+        self._calls.register(CHANGES_CALL, answerer.answer)
         self._started_at = kernel.clock.time()
         self.follow(
             self._daemons.collection,
@@ -175,17 +148,24 @@
         self._news_needed_since = since
 
     def has_news(self, collection, since):
-        """Return whether ``collection`` was read by a call that began after ``since``.
+        """Return whether the copy of ``collection`` is about as recent as ``since``.
 
-        :param since: seconds of the runtime's clock.
+        :param since: seconds of the boot time.
         """
-        return self._subscriptions_by_collection[collection].read_began_at > since
+        known = self._subscriptions_by_collection[collection].known
+        return known.at >= since - MAX_NEWS_AGE_S
 
     def _may_wait(self, subscription):
         """Return whether a read may wait for a change."""
         return (
             subscription.unavailable_since is None
-            and subscription.read_began_at > self._news_needed_since
+            and subscription.asked_at > self._news_needed_since
+        )
+
+    def _lacks_news(self, subscription):
+        """Return whether a relay was asked for news and had none recent enough."""
+        return self._may_wait(subscription) and not self.has_news(
+            subscription.collection, self._news_needed_since
         )
 
     def _apply_daemons(self, update):
@@ -198,18 +178,15 @@
         revision = None
         while True:
             try:
-                began_at = clock.time()
+                began_at = self._now()
                 update = await self._read(subscription, revision)
                 update = await self._with_store_contact(subscription, update)
                 revision = update.revision
-                subscription.confirmed_at = clock.time()
-                subscription.read_began_at = began_at
+                subscription.asked_at = began_at
                 subscription.store_answers_since = clock.time() - update.store_contact_s
                 self._apply(subscription, update)
                 delay_s = RETRY_DELAY_S
-                await clock.sleep(
-                    LEADER_BATCH_INTERVAL_S if self._is_leader() else BATCH_INTERVAL_S
-                )
+                await self._pause_between_reads(subscription, update, began_at)
             except WatchCompacted:
                 log.info(
                     "watch history compacted",
@@ -222,20 +199,39 @@
                 await clock.sleep(delay_s * self._kernel.random.uniform(0.7, 1.3))
                 delay_s = min(MAX_RETRY_DELAY_S, delay_s * 1.5)
 
+    async def _pause_between_reads(self, subscription, update, began_at):
+        """Let changes that come close together be read by one call."""
+        clock = self._kernel.clock
+        interval_s = LEADER_BATCH_INTERVAL_S if self._is_leader() else BATCH_INTERVAL_S
+        now = self._now()
+        if not update.has_news and now - began_at >= interval_s:
+            return
+        if subscription.reads_store:
+            fresh_s = subscription.remaining_freshness_s(now) - FRESHNESS_SLACK_S / 2
+            interval_s = min(interval_s, max(CATCH_UP_WAIT_S, fresh_s))
+        await clock.sleep(interval_s)
+
     async def _read(self, subscription, revision):
         """Return the next `CollectionUpdate`, from a relay or else from the store."""
         if not subscription.changes.revision and self._bootstrap_remaining_s() > 0:
             return await self._read_first(subscription)
         address = self._choose_relay(subscription)
-        subscription.reads_store = address is None
         may_wait = self._may_wait(subscription)
+        if address is not None and subscription.reads_store:
+            # The copy from the store must not stop being fresh meanwhile.
+            may_wait = False
+        subscription.reads_store = address is None
         if address is not None:
             try:
-                return await self._read_relay(address, subscription, revision)
+                return await self._read_relay(
+                    address, subscription, revision, may_wait=may_wait
+                )
             except (PeerUnreachable, ResponseLost) as error:
                 self._drop_relay(subscription, address, revision, error)
                 may_wait = False
-        wait_s = subscription.watch_wait_s if may_wait else CATCH_UP_WAIT_S
+        wait_s = CATCH_UP_WAIT_S
+        if may_wait:
+            wait_s = subscription.next_watch_wait_s(self._now())
         return await self._read_store(subscription.collection, revision, wait_s)
 
     async def _read_first(self, subscription):
@@ -253,7 +249,9 @@
                 while not self._reads_first_copy_from_store():
                     for address in self._daemons.relay_addresses():
                         try:
-                            return await self._read_relay(address, subscription, None)
+                            return await self._read_relay(
+                                address, subscription, None, may_wait=False
+                            )
                         except (PeerUnreachable, ResponseLost) as error:
                             log.debug("relay has no copy yet", error=str(error))
                     await clock.sleep(BOOTSTRAP_RETRY_S)
@@ -281,11 +279,12 @@
             await self._kernel.clock.sleep(max(0.0, remaining_s))
         # After a restart of the fleet the list is seconds old at worst, and complete.
         stale = not self._is_first_start
-        objects, revision = await self._store.list(
-            self._daemons.collection, stale=stale
-        )
+        collection = self._daemons.collection
+        asked_at = self._now()
+        objects, revision = await self._store.list(collection, stale=stale)
+        known = KnownAt(collection) if stale else KnownAt.by_list(collection, asked_at)
         contact_s = self._store.answering_s()
-        return CollectionUpdate(True, (), tuple(objects), revision, contact_s)
+        return CollectionUpdate(True, (), tuple(objects), revision, contact_s, known)
 
     def _drop_relay(self, subscription, address, revision, error):
         """Leave a failed relay out for a while; the store is read in its place."""
@@ -296,21 +295,36 @@
             rev=revision,
             error=str(error),
         )
-        cooldown_until = self._kernel.clock.time() + RELAY_COOLDOWN_S
+        cooldown_s = RELAY_COOLDOWN_S
+        if isinstance(error, CopyNotFresh):
+            cooldown_s = STALE_RELAY_COOLDOWN_S
+        cooldown_until = self._kernel.clock.time() + cooldown_s
         subscription.cooldown_until_by_relay[address] = cooldown_until
         departures = self._kernel.find("departures")
         if departures is not None and isinstance(error, PeerUnreachable):
             departures.suspect(address)
         subscription.reads_store = True
+        subscription.record_source_lost(self._now())
 
     async def _read_store(self, collection, revision, wait_s):
+        asked_at = self._now()
         if revision is None:
             objects, revision = await self._store.list(collection)
+            known = KnownAt.by_list(collection, asked_at)
             contact_s = self._store.answering_s()
-            return CollectionUpdate(True, (), tuple(objects), revision, contact_s)
+            return CollectionUpdate(
+                True, (), tuple(objects), revision, contact_s, known
+            )
         page = await self._store.watch(collection, revision, wait_s)
+        known = KnownAt.by_watch(
+            collection,
+            asked_at,
+            wait_s,
+            self._now(),
+            has_changes=bool(page.items),
+        )
         contact_s = self._store.answering_s()
-        return CollectionUpdate(False, page.items, (), page.revision, contact_s)
+        return CollectionUpdate(False, page.items, (), page.revision, contact_s, known)
 
     async def _with_store_contact(self, subscription, update):
         """Return ``update`` with the longest time for which the store has answered.
@@ -323,33 +337,42 @@
             contact_s = max(contact_s, await self._contact.others_s(era))
         return replace(update, store_contact_s=contact_s)
 
-    async def _read_relay(self, address, subscription, revision):
+    async def _read_relay(self, address, subscription, revision, *, may_wait):
         is_relay = self._daemons.is_relay()
         body = {
             "collection": subscription.collection,
             "since": revision,
             "from_relay": is_relay,
-            "wait_s": self._relay_wait_s(subscription),
+            "wait_s": self._relay_wait_s() if may_wait else CATCH_UP_WAIT_S,
         }
         if revision is None:
             timeout_s = RELAY_SNAPSHOT_TIMEOUT_S
         else:
             timeout_s = LEADER_TIMEOUT_S if is_relay else RELAY_TIMEOUT_S
+        asked_at = self._now()
         answer = await self._calls.call(
             address, CHANGES_CALL, body, timeout_s=timeout_s
         )
+        if not answer:
+            raise CopyNotFresh(f"{address} has nothing fresh to relay")
         try:
-            update = load(answer)
+            known = KnownAt(subscription.collection)
+            # Relays of earlier releases do not say; their answers are not passed on.
+            if KNOWN_FIELD in answer:
+                since_question_s = float(answer[KNOWN_FIELD])
+                known = KnownAt.by_relay(
+                    subscription.collection, asked_at, since_question_s, self._now()
+                )
+            update = load(answer, known)
         except (KeyError, TypeError, ValueError) as error:
-            raise ResponseLost(
-                f"{address} has nothing fresh to relay, or its answer is malformed: "
-                f"{error!r}"
-            )
+            raise ResponseLost(f"{address} gave a malformed answer: {error!r}")
         if revision is not None and update.revision < revision:
             # Its last read of the store was earlier than the one that this daemon's
             # copy comes from. The revision grows with changes of other collections
             # too, so it need not miss anything.
-            return CollectionUpdate(False, (), (), revision, update.store_contact_s)
+            return CollectionUpdate(
+                False, (), (), revision, update.store_contact_s, known
+            )
         return update
 
     def _apply(self, subscription, update):
@@ -363,6 +386,9 @@
                 away_s=away_s,
             )
             subscription.unavailable_since = None
+        grace_s = 0.0 if subscription.reads_store else LEADER_TIMEOUT_S
+        now = self._now()
+        subscription.record_known(update, now, grace_s=grace_s)
         if update.revision < subscription.changes.revision:
             log.warning(
                 "older update ignored",
@@ -375,8 +401,7 @@
         if update.is_snapshot or update.changes:
             subscription.changes.apply(update)
             subscription.apply(update)
-            subscription.changed.set()
-            subscription.changed = asyncio.Event()
+            subscription.wake()
         else:
             subscription.changes.revision = update.revision
 
@@ -389,76 +414,11 @@
                 error=str(error),
             )
 
-    async def _answer_changes(self, body):
-        """Return the changes since a revision, for another daemon.
-
-        An empty answer makes the other daemon leave this one out for a while. It is
-        given if this daemon has no fresh copy of the collection, and to a relay if
-        this daemon does not read the collection from the store itself.
-        """
-        subscription = self._subscriptions_by_collection.get(body.get("collection"))
-        if subscription is None or subscription.unavailable_since is not None:
-            return {}
-        if not self._may_answer(subscription, from_relay=bool(body.get("from_relay"))):
-            return {}
-        remaining_s = self._remaining_freshness_s(subscription)
-        changes = subscription.changes
-        if remaining_s <= 0 or not changes.revision:
-            return {}
-        since = body.get("since")
-        if since is not None and not changes.after(since):
-            wait_s = min(body.get("wait_s", RELAY_WAIT_S), RELAY_WAIT_S, remaining_s)
-            try:
-                async with self._kernel.clock.timeout(wait_s):
-                    await subscription.changed.wait()
-            except TimeoutError:
-                log.debug("nothing to relay", collection=subscription.collection)
-            if self._remaining_freshness_s(subscription) <= 0:
-                return {}
-        return self._shared_answer(subscription, since)
-
-    def _relay_wait_s(self, subscription):
-        if not self._may_wait(subscription):
-            return CATCH_UP_WAIT_S
+    def _relay_wait_s(self):
         return LEADER_WAIT_S if self._daemons.is_relay() else RELAY_WAIT_S
 
-    def _may_answer(self, subscription, *, from_relay):
-        if subscription.reads_store:
-            return True
-        return self._daemons.is_relay() and not from_relay
-
-    def _shared_answer(self, subscription, since):
-        """Return the changes since a revision as a `SharedAnswer`."""
-        now = self._kernel.clock.time()
-        if now >= subscription.answers_until:
-            subscription.answers_by_since.clear()
-            subscription.answers_until = now + SHARED_ANSWER_S
-        key = (since, subscription.changes.revision)
-        answer = subscription.answers_by_since.get(key)
-        if answer is None:
-            update = self._update_since(subscription, since)
-            answer = subscription.answers_by_since[key] = SharedAnswer(dump(update))
-        return answer
-
-    def _update_since(self, subscription, since):
-        changes = subscription.changes
-        contact_s = self._kernel.clock.time() - subscription.store_answers_since
-        known = changes.after(since)
-        if known is None:
-            objects = changes.objects()
-            return CollectionUpdate(True, (), objects, changes.revision, contact_s)
-        return CollectionUpdate(False, known, (), changes.revision, contact_s)
-
-    def _remaining_freshness_s(self, subscription):
-        """Return for how many seconds this daemon's data still counts as fresh.
-
-        A pending watch does not show whether the store is out of reach; the
-        reads of the lease do, which the leader and candidates make every second.
-        """
-        confirmed_at = subscription.confirmed_at
-        if subscription.reads_store:
-            confirmed_at = max(confirmed_at, self._store.last_answer_at)
-        return confirmed_at + FRESHNESS_LIMIT_S - self._kernel.clock.time()
+    def _now(self):
+        return self._kernel.clock.boot_time()
 
     def _is_leader(self):
         lease = self._kernel.find("lease")
@@ -466,7 +426,7 @@
 
     def _choose_relay(self, subscription):
         """Return the address of the daemon to ask, or ``None`` to read the store."""
-        if self._is_leader():
+        if self._is_leader() or self._lacks_news(subscription):
             return None
         now = self._kernel.clock.time()
         cooldown_until_by_relay = subscription.cooldown_until_by_relay
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -4,7 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from pimentogap.calls import SharedAnswer, decode_answer
+from pimentogap.calls import PersonalAnswer, SharedAnswer, decode_answer
 from pimentogap.errors import (
     ConnectionFailed,
     PeerUnreachable,
@@ -156,11 +156,13 @@
         """Call ``service`` of the daemon at ``address`` and return its answer.
 
         :raises PeerUnreachable: if no daemon listens on ``address``.
-        :raises ResponseLost: if the daemon is frozen, after ``timeout_s``.
+        :raises ResponseLost: if it was cut off before it answered, or if it is frozen,
+            after ``timeout_s``.
         """
         began_at = asyncio.get_running_loop().time()
         handler = self._call_handlers_by_address.get(address)
-        if handler is None or (self._own_address, address) in self._cut_calls:
+        link = (self._own_address, address)
+        if handler is None or link in self._cut_calls:
             raise PeerUnreachable(address)
         await asyncio.sleep(CONNECT_DELAY_S)
         answer = await handler(service, body)
@@ -168,7 +170,9 @@
             passed_s = asyncio.get_running_loop().time() - began_at
             await asyncio.sleep(max(0.0, timeout_s - passed_s))
             raise ResponseLost(f"{address} did not answer {service} in {timeout_s} s")
-        if not isinstance(answer, SharedAnswer):
+        if link in self._cut_calls:
+            raise ResponseLost(f"{address} was cut off during a call")
+        if not isinstance(answer, SharedAnswer | PersonalAnswer):
             answer = SharedAnswer(answer)
         # Encoded as on the wire, so that the caller gets a copy of its own.
         return decode_answer(answer.encode(compressed=True))
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -37,7 +37,9 @@
 
     ``down`` answers every call with status 503; ``silent`` answers none.
     ``refused_sources`` and ``silent_sources`` name the daemons that get these two
-    faults while the others are served. ``bytes_per_s`` is the rate of each answer's
+    faults while the others are served. The calls of ``deaf_sources`` do not arrive, but
+    what the store still has to answer them does; the calls of ``mute_sources`` arrive,
+    and the answers do not. ``bytes_per_s`` is the rate of each answer's
     body, which arrives in ten parts a second; 0 for no limit.
     ``slow_s`` is added to the time of every answer. ``lose_answer_share`` is the share
     of writes, from 0 to 1, that are executed and not answered; if ``late_writes_s`` is
@@ -53,6 +55,8 @@
         "late_writes_s",
         "refused_sources",
         "silent_sources",
+        "deaf_sources",
+        "mute_sources",
     )
 
     def __init__(self):
@@ -64,6 +68,8 @@
         self.late_writes_s = 0.0
         self.refused_sources = set()
         self.silent_sources = set()
+        self.deaf_sources = set()
+        self.mute_sources = set()
 
 
 class ObjectStore:
@@ -174,7 +180,8 @@
         self.calls += 1
         self._loop = asyncio.get_running_loop()
         faults = self.faults
-        if faults.silent or source in faults.silent_sources:
+        no_arrival = faults.silent_sources | faults.deaf_sources
+        if faults.silent or source in no_arrival:
             await asyncio.sleep(SILENCE_S)
         if faults.down or source in faults.refused_sources:
             await self._answer(reply, 503, {})
@@ -184,7 +191,7 @@
         if is_write and self._random.random() < faults.lose_answer_share:
             await self._lose_answer(request)
         status, data = await self._execute(request)
-        if source in faults.silent_sources:
+        if source in faults.silent_sources | faults.mute_sources:
             await asyncio.sleep(SILENCE_S)
         await self._answer(reply, status, data)
 
