--- a/features/platform/freshness.feature
+++ b/features/platform/freshness.feature
@@ -24,6 +24,12 @@
       | 195     | calls   | the leader          |
       | 195     | answers | half of the daemons |
 
+  Scenario: Who is further behind than the kept changes gets the whole copy at once
+    Given a platform with 6 daemons in 3 availability zones
+    When 2 seconds pass
+    And the leader is asked for changes since a revision before its own first
+    Then it answers with its whole copy within 0.1 seconds
+
   Scenario: What vouches for a copy is a question about its collection
     Then a watch answered without changes vouches for the end of its wait
     And a watch answered with changes vouches for the moment of its question
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -9,6 +9,7 @@
 from pimentogap.quarantine import QuarantinedPart, QuarantineList
 from pimentogap.quarantine._documents import encode_list as encode_quarantine
 from pimentogap.relay._freshness import KnownAt
+from pimentogap.relay._service import CHANGES_CALL
 from standins.emulator import EmulatedFleet, configuration_document
 
 ZONES = ("z-a", "z-b", "z-c")
@@ -136,6 +137,27 @@
     assert not late, (len(late), sorted(late.items(), key=lambda item: -item[1])[:5])
 
 
+@when("the leader is asked for changes since a revision before its own first")
+def when_far_behind(context):
+    fleet = context.simulation.fleet
+
+    async def ask():
+        (leader,) = fleet.leader_names()
+        calls = fleet.kernels_by_name[leader].get("calls")
+        asked_at = asyncio.get_running_loop().time()
+        body = {"collection": "config", "since": 1, "wait_s": 1.0}
+        answer = await calls.call(calls.address, CHANGES_CALL, body, timeout_s=2.0)
+        return answer, asyncio.get_running_loop().time() - asked_at
+
+    context.answer, context.answered_after_s = context.simulation.run(ask())
+
+
+@then("it answers with its whole copy within {seconds:g} seconds")
+def then_whole_copy(context, seconds):
+    assert context.answer["whole"], context.answer
+    assert context.answered_after_s <= seconds, context.answered_after_s
+
+
 @then("a watch answered without changes vouches for the end of its wait")
 def then_end_of_wait(context):
     known = KnownAt.by_watch("config", 100.0, 1.5, 101.9, has_changes=False)
--- a/pimentogap/relay/_answering.py
+++ b/pimentogap/relay/_answering.py
@@ -69,7 +69,7 @@
         :param since: the revision after which a change counts.
         :param until: a boot time.
         """
-        while self._is_fresh(subscription) and not subscription.changes.after(since):
+        while self._is_fresh(subscription) and subscription.changes.after(since) == ():
             now = self._clock.boot_time()
             remaining_s = min(until - now, subscription.remaining_freshness_s(now))
             if remaining_s <= 0:
