--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -9,6 +9,8 @@
 # Fewer bytes than this are no progress unless they complete an event: a backend server
 # that sends a byte now and then has stalled.
 MIN_PROGRESS_BYTES = 512
+# Other tasks run after so much of a stream, since each event of it costs time.
+BYTES_PER_TURN = 8192
 # Another backend server may have given the answer.
 MISDIRECTED_STATUS = 421
 # Callers do not wait longer than this.
@@ -21,7 +23,8 @@
     A plain answer is buffered until it is complete or exceeds
     `MAX_BUFFERED_BYTES`. The caller's answer to a stream begins with the first
     complete event, and later attempts continue the same answer. ``progress_at`` is
-    when the head, an event or `MIN_PROGRESS_BYTES` last arrived.
+    when the head, an event or `MIN_PROGRESS_BYTES` last arrived; of a stream, only the
+    bytes of an event count.
     """
 
     __slots__ = (
@@ -32,6 +35,7 @@
         "_buffered_chunks",
         "_buffered_bytes",
         "_bytes_since_progress",
+        "_partial_bytes",
         "_is_passing_through",
         "_codec",
         "_event_filter",
@@ -61,6 +65,7 @@
         self._buffered_chunks = []
         self._buffered_bytes = 0
         self._bytes_since_progress = 0
+        self._partial_bytes = 0
         self._is_passing_through = False
         self._codec = codec
         self._event_filter = event_filter
@@ -71,7 +76,7 @@
         self._request = request
         self._record_wishes = record_wishes
         if event_filter is not None:
-            event_filter.discard_partial_event()
+            event_filter.begin_attempt()
 
     @property
     def attempt_id(self):
@@ -102,12 +107,13 @@
 
     async def data_received(self, chunk):
         """Pass on the complete part of ``chunk`` and buffer the remainder."""
+        if self._event_filter is not None and self._is_valid_success():
+            await self._pass_stream(chunk)
+            return
         self._bytes_since_progress += len(chunk)
         if self._bytes_since_progress >= MIN_PROGRESS_BYTES:
             self._record_progress()
-        if self._event_filter is not None and self._is_valid_success():
-            await self._pass_events(chunk)
-        elif self._is_passing_through:
+        if self._is_passing_through:
             await self._request.response.write(chunk)
         else:
             await self._buffer_chunk(chunk)
@@ -127,6 +133,8 @@
                 return Lost("the connection ended before the stream's first event")
             if not self._is_passing_through and not self._request.response.begun:
                 self._begin_stream()
+            if held := self._event_filter.take_held():
+                self._request.response.send(held)
             self._request.response.finish()
             return Delivered(self.answer.status)
         if self._is_valid_success():
@@ -142,10 +150,27 @@
         answer = self.answer
         return 200 <= answer.status < 300 and answer.sealed and bool(answer.attempt_id)
 
-    async def _pass_events(self, chunk):
-        data = self._event_filter.feed(chunk)
-        if not data:
-            return
+    async def _pass_stream(self, chunk):
+        """Pass on what ``chunk`` completes, a part of it in each turn."""
+        for start in range(0, len(chunk), BYTES_PER_TURN):
+            if start:
+                await self._clock.sleep(0)
+            new = self._event_filter.feed(chunk[start : start + BYTES_PER_TURN])
+            if new.count:
+                self._record_event()
+            else:
+                self._record_partial_event()
+            if new.data:
+                await self._request.response.write(new.data)
+
+    def _record_partial_event(self):
+        partial_bytes = self._event_filter.partial_bytes
+        if partial_bytes - self._partial_bytes >= MIN_PROGRESS_BYTES:
+            self._record_progress()
+            self._partial_bytes = partial_bytes
+
+    def _record_event(self):
+        self._partial_bytes = 0
         waiting_since = self.progress_at
         self._record_progress()
         now = self.progress_at
@@ -158,7 +183,6 @@
             self._is_passing_through = True
             if not self._request.response.begun:
                 self._begin_stream()
-        await self._request.response.write(data)
 
     def _begin_stream(self):
         headers = [
--- a/pimentogap/metrics/_service.py
+++ b/pimentogap/metrics/_service.py
@@ -29,9 +29,19 @@
 
     name = "metrics"
     requires = ()
-    __slots__ = ("counts_by_series", "histograms_by_series", "gauges_by_series")
-
-    def __init__(self):
+    __slots__ = (
+        "counts_by_series",
+        "histograms_by_series",
+        "gauges_by_series",
+        "_loop_holds",
+    )
+
+    def __init__(self, loop_holds=None):
+        """Create the service.
+
+        :param loop_holds: the `LoopHolds` of the event loop, which are exported too.
+        """
+        self._loop_holds = loop_holds
         self.counts_by_series = {}
         self.histograms_by_series = {}
         self.gauges_by_series = {}
@@ -83,7 +93,10 @@
                 lines.append(f"{_name(series)}_seconds{labels} {value:.6f}")
             count = histogram.get_total_count()
             lines.append(f"{_name(series)}_seconds_count{_labels(series)} {count}")
-        return "\n".join(sorted(lines)) + "\n"
+        lines.sort()
+        if self._loop_holds is not None:
+            lines += self._loop_holds.lines()
+        return "\n".join(lines) + "\n"
 
 
 def _name(series):
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -23,7 +23,7 @@
 from pimentogap.ingress import IngressService
 from pimentogap.kernel import Kernel
 from pimentogap.logs import install_decision_log
-from pimentogap.metrics import MetricService
+from pimentogap.metrics import LoopHolds, MetricService, measured_event_loop
 from pimentogap.pauses import PauseService
 from pimentogap.peers.grpc import GrpcTransport
 from pimentogap.permits import PermitService
@@ -88,7 +88,9 @@
         print(f"{options.settings}: the settings are right")
         return EXIT_OK
     sink = install_decision_log(level=options.log_level, clock=time.time)
-    return asyncio.run(_run(settings, options.settings, sink))
+    holds = LoopHolds()
+    with asyncio.Runner(loop_factory=lambda: measured_event_loop(holds)) as runner:
+        return runner.run(_run(settings, options.settings, sink, holds))
 
 
 def assemble_front(
@@ -101,6 +103,7 @@
     peer_transport,
     clock=None,
     seed=None,
+    loop_holds=None,
 ):
     """Return a `Kernel` with every service but the one that listens for callers.
 
@@ -113,10 +116,11 @@
     :param clock: the `Clock` that services read.
     :param seed: seed of the random generator that services share, which makes
         their choices repeatable.
+    :param loop_holds: the `LoopHolds` of the event loop, for the metrics.
     """
     kernel = Kernel(clock=clock, seed=seed)
     for service in (
-        MetricService(),
+        MetricService(loop_holds),
         CallService(settings.inner_address, peer_transport),
         StoreClient(store_transport, timeout_s=STORE_TIMEOUT_S),
         ServingConfigurationService(
@@ -140,7 +144,7 @@
     return kernel
 
 
-async def _run(settings, path, sink):
+async def _run(settings, path, sink, loop_holds):
     loop = asyncio.get_running_loop()
     loop.create_task(_flush_regularly(sink))
     codec = PlatformHeaders()
@@ -153,6 +157,7 @@
         # With the store's address as the fleet's key, daemons refuse those of another
         # fleet that used the same addresses before.
         peer_transport=GrpcTransport(settings.id, settings.store_address),
+        loop_holds=loop_holds,
     )
     kernel.register(IngressService(settings, codec))
     stop = asyncio.Event()
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -86,7 +86,8 @@
             return
         try:
             await self.receiver.data_received(chunk)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # tornado would log a cancellation here, and raise another error for it.
             self._fail(error)
 
     def finish(self):
