--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -6,13 +6,26 @@
     Then the caller gets <status> and the connection is closed
 
     Examples:
-      | what                        | status |
-      | headers that are too large  | 431    |
-      | a body that is too large    | 413    |
-      | a length of 30 digits       | 413    |
-      | two different lengths       | 400    |
-      | a length and chunks         | 400    |
-      | no Host header              | 400    |
+      | what                            | status |
+      | headers that are too large      | 431    |
+      | a body that is too large        | 413    |
+      | a length of superscript digits  | 400    |
+      | a length of 30 digits           | 413    |
+      | two different lengths           | 400    |
+      | a length and chunks             | 400    |
+      | no Host header                  | 400    |
+
+  # Guards against: a request whose Last-Event-Id is no number was never answered.
+  Scenario Outline: A request to go on after event <what> is answered
+    Given a front end with small limits
+    When a stream is continued after event <what>
+    Then the request is answered, and its last event is <id>
+
+    Examples:
+      | what               | id   |
+      | a superscript two  | none |
+      | 4301 digits        | none |
+      | twelve             | 12   |
 
   Scenario: A complete request is passed on with its original path and its decoded body
     Given a front end with small limits
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -22,6 +23,7 @@
     "two different lengths": HEAD + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
     "a length and chunks": HEAD
     + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a length of superscript digits": HEAD + "Content-Length: \u00b2\r\n\r\nxx",
     "no Host header": "GET / HTTP/1.1\r\n\r\n",
     "a chunked body": HEAD
     + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
@@ -113,6 +115,12 @@
             self.kernel.register(service)
         await self.kernel.start()
 
+    def allow(self, **limits):
+        """Replace some of the small limits."""
+        serving = self.kernel.get("serving_configuration")
+        newer = replace(serving.current.limits, **limits)
+        serving.current = replace(serving.current, limits=newer)
+
     async def connect(self):
         """Connect as a caller and return the reader and the writer."""
         port = int(self.settings.caller_address.rpartition(":")[2])
@@ -136,7 +144,7 @@
     async def exchange():
         await context.front_end.start()
         reader, writer = await context.front_end.connect()
-        writer.write(REQUESTS_BY_NAME[what].encode())
+        writer.write(REQUESTS_BY_NAME[what].encode("latin-1"))
         if what == "a chunked body":
             context.answer = await reader.readuntil(b"ok")
         else:
@@ -212,6 +220,36 @@
     assert (request.path, request.body) == (path, body.encode()), request.path
 
 
+LAST_EVENTS_BY_NAME = {
+    "a superscript two": "\u00b2",
+    "4301 digits": "9" * 4301,
+    "twelve": "12",
+}
+
+
+@when("a stream is continued after event {what}")
+def when_last_event(context, what):
+    async def exchange():
+        await context.front_end.start()
+        context.front_end.allow(max_header_bytes=16384)
+        reader, writer = await context.front_end.connect()
+        text = f"Last-Event-Id: {LAST_EVENTS_BY_NAME[what]}\r\n"
+        writer.write(f"GET /x HTTP/1.1\r\nHost: x\r\n{text}\r\n".encode("latin-1"))
+        async with asyncio.timeout(2):
+            context.answer = await reader.readuntil(b"ok")
+        writer.close()
+
+    asyncio.run(exchange())
+
+
+@then("the request is answered, and its last event is {id_}")
+def then_last_event(context, id_):
+    assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
+    (request,) = context.front_end.forwarding.requests
+    expected = None if id_ == "none" else int(id_)
+    assert request.needs.last_event_id == expected, request.needs.last_event_id
+
+
 @when("a connection is closed just after its request has been read")
 def when_connection_closed(context):
     async def exchange():
--- a/features/steps/turn_steps.py
+++ b/features/steps/turn_steps.py
@@ -5,7 +5,6 @@
 import socket
 import threading
 import time
-from dataclasses import replace
 
 from behave import given, then, when
 from tornado.httputil import HTTPHeaders
@@ -26,7 +25,7 @@
 from pimentogap.metrics import LoopHolds, MetricService, measured_event_loop
 from pimentogap.placement import BackendLoad, ModelLatency
 from pimentogap.platform import PlatformHeaders
-from pimentogap.types import CallerLimits, HttpRequest
+from pimentogap.types import HttpRequest
 from pimentogap.web import BackendPool, HttpClient
 from standins.paused import run_paused
 
@@ -184,9 +183,7 @@
 
     async def listen():
         await front_end.start()
-        configuration = front_end.kernel.get("serving_configuration")
-        limits = CallerLimits(max_header_bytes=2000, max_body_bytes=MAX_BODY_BYTES)
-        configuration.current = replace(configuration.current, limits=limits)
+        front_end.allow(max_body_bytes=MAX_BODY_BYTES)
         host, _, port = front_end.settings.caller_address.rpartition(":")
         connection = socket.create_connection((host, int(port)))
         args = (connection, begin, lambda number: BYTE_PARTS)
