--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -46,6 +46,17 @@
       | 1,900 digits | nothing |
       | 4,400 digits | nothing |
 
+  # Guards against: bytes above 127 in a path reached the backend server encoded twice.
+  Scenario: A path with bytes above 127 reaches the backend server as it came
+    Given a front end with small limits
+    When a request for "/look/\xc3\xa9?x=\xe2\x82\xac" comes in and is sent to a server
+    Then the server gets the path as it came
+
+  Scenario: A path that cannot be sent on as it came is refused
+    Given a front end with small limits
+    When the front end receives a path that is not UTF-8
+    Then the caller gets 400 and the connection is closed
+
   Scenario: A request is cancelled when its caller disconnects
     Given a front end with small limits
     When a caller disconnects before it gets an answer
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -6,12 +6,14 @@
 
 from behave import given, then, when
 
+from features.steps.connection_steps import AnswerReceiver
 from pimentogap.ingress import IngressService
 from pimentogap.kernel import Kernel
 from pimentogap.metrics import MetricService
 from pimentogap.platform import PlatformHeaders
 from pimentogap.settings import FrontSettings
 from pimentogap.types import CallerLimits, ServingConfiguration
+from pimentogap.web import BackendPool
 
 HOST = "127.0.0.1"
 PAUSE_S = 0.1
@@ -24,6 +26,7 @@
     "a length and chunks": HEAD
     + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "a length of superscript digits": HEAD + "Content-Length: \u00b2\r\n\r\nxx",
+    "a path that is not UTF-8": "GET /look/\u00e9 HTTP/1.1\r\nHost: x\r\n\r\n",
     "no Host header": "GET / HTTP/1.1\r\n\r\n",
     "a chunked body": HEAD
     + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
@@ -220,6 +223,46 @@
     assert (request.path, request.body) == (path, body.encode()), request.path
 
 
+@when('a request for "{path}" comes in and is sent to a server')
+def when_passed_on(context, path):
+    context.path = path.encode().decode("unicode_escape").encode("latin-1")
+    context.received = []
+
+    async def answer(reader, writer):
+        context.received.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
+
+    async def exchange():
+        await context.front_end.start()
+        reader, writer = await context.front_end.connect()
+        writer.write(b"GET " + context.path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        await reader.readuntil(b"ok")
+        writer.close()
+        (request,) = context.front_end.forwarding.requests
+        server = await asyncio.start_server(answer, HOST, 0)
+        address = "{}:{}".format(*server.sockets[0].getsockname())
+        await BackendPool().exchange(
+            address,
+            request.method,
+            request.path,
+            [("Host", "x")],
+            b"",
+            AnswerReceiver("a1"),
+            fresh=True,
+            connect_s=1.0,
+        )
+        server.close()
+
+    asyncio.run(exchange())
+
+
+@then("the server gets the path as it came")
+def then_same_path(context):
+    (head,) = context.received
+    assert head.startswith(b"GET " + context.path + b" HTTP/1.1\r\n"), head
+
+
 LAST_EVENTS_BY_NAME = {
     "a superscript two": "\u00b2",
     "4301 digits": "9" * 4301,
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -16,6 +16,7 @@
 
 log = Logger("ingress")
 
+MAX_LOGGED_PATH_CHARS = 80
 TOO_LARGE_STATUS = 413
 HEADERS_TOO_LARGE_STATUS = 431
 BAD_REQUEST_STATUS = 400
@@ -86,6 +87,7 @@
         "_connection",
         "stream",
         "_start_line",
+        "_path",
         "_headers",
         "_body",
         "_task",
@@ -99,6 +101,7 @@
         self._connection = connection
         self.stream = stream
         self._start_line = None
+        self._path = ""
         self._headers = None
         self._body = bytearray()
         self._task = None
@@ -112,7 +115,8 @@
         self._headers = headers
         limits = self._service.limits()
         declared = headers.get("Content-Length", "0")
-        if not start_line.path.startswith("/") or "Host" not in headers:
+        self._path = _decode_path(start_line.path)
+        if not self._path.startswith("/") or "Host" not in headers:
             self._refuse(BAD_REQUEST_STATUS)
         elif _header_bytes(start_line, headers) > limits.max_header_bytes:
             self._refuse(HEADERS_TOO_LARGE_STATUS)
@@ -169,7 +173,7 @@
         headers = self._headers
         request = CallerRequest(
             method=self._start_line.method,
-            path=self._start_line.path,
+            path=self._path,
             host=headers["Host"],
             headers=self._service.codec.forwarded_headers(headers),
             body=bytes(self._body),
@@ -192,6 +196,19 @@
         self._response.finish()
 
 
+def _decode_path(path):
+    """Return a path that tornado read as Latin-1 such that it is sent as it came.
+
+    tornado sends a path as UTF-8. A path that is none cannot be sent on; it is empty,
+    and refused.
+    """
+    try:
+        return path.encode("latin-1").decode("utf-8")
+    except UnicodeDecodeError:
+        log.info("path is not UTF-8", path=path[:MAX_LOGGED_PATH_CHARS])
+        return ""
+
+
 def _header_bytes(start_line, headers):
     size = len(start_line.method) + len(start_line.path) + 12
     return size + sum(len(name) + len(value) + 4 for name, value in headers.get_all())
