--- a/pimentogap/relay/_freshness.py
+++ b/pimentogap/relay/_freshness.py
@@ -5,7 +5,7 @@
 
 # A copy from the store is passed on until it is older than the wait of a watch by this
 # much: until the answer that is due has come.
-FRESHNESS_SLACK_S = 0.2
+FRESHNESS_SLACK_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -33,7 +33,7 @@
 BATCH_INTERVAL_S = 0.3
 LEADER_BATCH_INTERVAL_S = 0.15
 # A change of the daemons that is noticed late does no harm.
-DAEMONS_WATCH_WAIT_S = 10.0
+DAEMONS_WATCH_WAIT_S = 15.0
 # Longest wait of a relay for a change; it bounds how long a silent relay goes
 # unnoticed. Relays ask the leader more often, since daemons wait for them in turn.
 RELAY_WAIT_S = 1.3
--- a/pimentogap/relay/_subscription.py
+++ b/pimentogap/relay/_subscription.py
@@ -8,12 +8,12 @@
 
 # Longest wait of a watch; it bounds how long a watch that the store accepted but
 # lost goes unnoticed.
-WATCH_WAIT_S = 1.5
+WATCH_WAIT_S = 1.6
 # After a failure a watch hardly waits: the first one that the store answers brings
 # the daemon up to date, well within the 3 s that the platform allows.
 CATCH_UP_WAIT_S = 0.05
 # A copy whose source failed is passed on this long, in which the store can be read.
-SOURCE_CHANGE_S = 0.15
+SOURCE_CHANGE_S = 0.1
 
 
 class Subscription:
