--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -15,18 +15,6 @@
       | a length and chunks             | 400    |
       | no Host header                  | 400    |
 
-  # Guards against: a request whose Last-Event-Id is no number was never answered.
-  Scenario Outline: A request to go on after event <what> is answered
-    Given a front end with small limits
-    When a stream is continued after event <what>
-    Then the request is answered, and its last event is <id>
-
-    Examples:
-      | what               | id   |
-      | a superscript two  | none |
-      | 4301 digits        | none |
-      | twelve             | 12   |
-
   Scenario: A complete request is passed on with its original path and its decoded body
     Given a front end with small limits
     When the front end receives a chunked body
