--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -51,6 +51,8 @@
         context.back_at = loop.time()
 
     context.simulation.run(go_back())
+    replicas = context.simulation.fleet.replicas_by_id
+    context.seqs_at_return = {id_: item.seq for id_, item in replicas.items()}
 
 
 @when("{count:d} objects are written by others")
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -26,13 +26,12 @@
 class SeenLease:
     """The lease object as it was when this daemon last saw it change.
 
-    ``seen_at`` is in seconds of the runtime's clock. ``is_copy`` says that the
-    store has gone back to it, so that another daemon may hold a later one.
+    ``seen_at`` is in seconds of the runtime's clock.
     """
 
-    __slots__ = ("holder", "term", "address", "version", "seen_at", "is_copy")
+    __slots__ = ("holder", "term", "address", "version", "seen_at")
 
-    def __init__(self, value, version, seen_at, *, is_copy=False):
+    def __init__(self, value, version, seen_at):
         """Read the lease in ``value``, of which odd fields are left out."""
         fields = value if isinstance(value, dict) else {}
         self.holder = _text(fields.get("holder"))
@@ -40,13 +39,10 @@
         self.address = _text(fields.get("address"))
         self.version = version
         self.seen_at = seen_at
-        self.is_copy = is_copy
 
-    def is_free(self, daemon_id, now):
-        """Return whether ``daemon_id`` may acquire the lease at ``now``."""
-        if now - self.seen_at >= LEASE_DURATION_S:
-            return True
-        return self.holder in ("", daemon_id) and not self.is_copy
+    def has_expired(self, now):
+        """Return whether its holder cannot hold it any more, whoever that is."""
+        return now - self.seen_at >= LEASE_DURATION_S
 
 
 def _text(value):
@@ -71,17 +67,19 @@
 
     A store that came back from an older copy may show an older lease, of another holder
     or with a lower term. Terms of a new era are above all before, so that none is given
-    out twice; whoever held the lease when the store went back takes it again at once,
-    unless another daemon was faster.
+    out twice; whoever held the lease when the store went back takes it again at once.
+    To any other daemon a lease that is released, missing, or its own of an earlier
+    start counts as free only when the store is settled.
     """
 
     name = "lease"
-    requires = ("store", "daemons")
+    requires = ("store", "daemons", "settling")
     __slots__ = (
         "_id",
         "_address",
         "_kernel",
         "_store",
+        "_settling",
         "_seen",
         "_held_until",
         "_highest_term",
@@ -98,6 +96,7 @@
         self._address = address
         self._kernel = None
         self._store = None
+        self._settling = None
         self._seen = None
         self._held_until = 0.0
         self._highest_term = 0
@@ -108,6 +107,7 @@
         """Start the task that acquires and renews the lease."""
         self._kernel = kernel
         self._store = kernel.get("store")
+        self._settling = kernel.get("settling")
         kernel.spawn(self.name, self._compete, on_error=RestartOnError())
 
     async def stop(self):
@@ -153,22 +153,37 @@
         return CANDIDATE_POLL_INTERVAL_S if is_candidate else STANDBY_POLL_INTERVAL_S
 
     async def _acquire_if_free(self):
+        seen = await self._read()
+        if seen is not None and seen.has_expired(self._kernel.clock.time()):
+            await self._acquire(seen.version, seen.term)
+            return
+        if not self._seems_free(seen):
+            return
+        if not self._settling.is_settled():
+            await self._settling.wait()
+            seen = await self._read()
+            # The store may have come back from a copy during the wait.
+            if not self._seems_free(seen) or not self._settling.is_settled():
+                return
+        if seen is None:
+            await self._acquire(0, 0)
+        else:
+            await self._acquire(seen.version, seen.term)
+
+    async def _read(self):
+        """Return the `SeenLease` that the store has now, or ``None``."""
         stored = await self._store.get(COLLECTION, OBJECT, stale=True)
         if stored is None:
             stored = await self._store.get(COLLECTION, OBJECT)
-        now = self._kernel.clock.time()
         if stored is None:
-            await self._acquire(0, 0)
-            return
-        seen = self._seen
-        if seen is None or seen.version < stored.version:
-            is_copy = (
-                seen is not None and Revision(seen.version).era < stored.version.era
-            )
-            seen = SeenLease(stored.value, stored.version, now, is_copy=is_copy)
-            self._record_seen(seen)
-        if seen.is_free(self._id, now):
-            await self._acquire(seen.version, seen.term)
+            return None
+        if self._seen is None or self._seen.version < stored.version:
+            self._record_seen(self._seen_lease(stored))
+        return self._seen
+
+    def _seems_free(self, seen):
+        """Return whether no other daemon holds ``seen``, if it is no older copy."""
+        return seen is None or seen.holder in ("", self._id)
 
     async def _acquire(self, version, term):
         """Write the lease with the first term that nobody can have had.
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -18,6 +18,7 @@
     plan_groups,
     target_counts,
 )
+from pimentogap.formation._readiness import Readiness
 from pimentogap.formation._surplus import SurplusGroups
 from pimentogap.kernel import RestartOnError
 from pimentogap.types import (
@@ -31,12 +32,6 @@
 log = Logger("formation")
 
 POLL_INTERVAL_S = 0.15
-# A new leader waits this long for the backend list to catch up before it acts.
-TAKEOVER_DELAY_S = 0.5
-# At the first start of the fleet, backend servers enter the list one after the
-# other: the leader waits until the list has kept its size for a while, up to a limit.
-FIRST_LIST_STABLE_S = 0.8
-FIRST_LIST_TIMEOUT_S = 5.0
 # Epochs reserved for each term, so that those of a later term are always greater.
 EPOCHS_PER_TERM = 100000
 LOADED_STATES = (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
@@ -55,7 +50,14 @@
     """
 
     name = "formation"
-    requires = ("lease", "directory", "serving_configuration", "placement", "metrics")
+    requires = (
+        "lease",
+        "settling",
+        "directory",
+        "serving_configuration",
+        "placement",
+        "metrics",
+    )
     __slots__ = (
         "_settings",
         "_engines",
@@ -64,7 +66,6 @@
         "_directory",
         "_configuration",
         "_term",
-        "_term_since",
         "_epoch_count",
         "_forming_by_key",
         "_orders",
@@ -76,8 +77,7 @@
         "_demand",
         "_loads",
         "_surplus",
-        "_list_size",
-        "_list_size_since",
+        "_readiness",
     )
 
     def __init__(self, settings, engines):
@@ -94,14 +94,13 @@
         self._demand = None
         self._loads = WeightLoads(settings)
         self._surplus = None
-        self._list_size = 0
-        self._list_size_since = 0.0
+        self._readiness = None
         self._term = 0
         self._losses = None
 
-    def _start_term(self, term, now):
+    def _start_term(self, term):
         self._term = term
-        self._term_since = now
+        self._readiness.begin_term()
         self._epoch_count = 0
         self._forming_by_key = {}
         self._orders = OrderSender(self._kernel, self._engines, term)
@@ -121,6 +120,7 @@
         self._lease = kernel.get("lease")
         self._directory = kernel.get("directory")
         self._configuration = kernel.get("serving_configuration")
+        self._readiness = Readiness(kernel, first_start=self._settings.first_start)
         kernel.spawn(self.name, self._run, on_error=RestartOnError())
 
     async def stop(self):
@@ -150,9 +150,9 @@
                     self._stop_leading()
                 continue
             if self._term != self._lease.term:
-                self._start_term(self._lease.term, clock.time())
+                self._start_term(self._lease.term)
                 log.notice("leading", term=self._term)
-            if self._is_ready_to_act():
+            if self._readiness.may_act():
                 self._reconcile()
 
     def _stop_leading(self):
@@ -160,22 +160,6 @@
         self._demand.clear_gauges()
         log.notice("no longer leading")
 
-    def _is_ready_to_act(self):
-        now = self._kernel.clock.time()
-        if not self._directory.loaded or self._configuration.current is None:
-            return False
-        if self._settings.first_start and self._lease.is_first:
-            size = len(self._directory.backends_by_id)
-            if size != self._list_size:
-                self._list_size, self._list_size_since = size, now
-            stable_s = now - self._list_size_since
-            if (
-                stable_s < FIRST_LIST_STABLE_S
-                and now - self._term_since < FIRST_LIST_TIMEOUT_S
-            ):
-                return False
-        return now - self._term_since >= TAKEOVER_DELAY_S
-
     def _reconcile(self):
         for service in self._configuration.current.services_by_name.values():
             if service.engine is not None and service.engine.models:
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -42,6 +42,7 @@
 )
 from pimentogap.quarantine import QuarantineService
 from pimentogap.relay import RelayService, StoreContactService
+from pimentogap.settling import SettlingService
 from pimentogap.store import StoreClient
 from pimentogap.web import BackendPool, HttpClient
 
@@ -129,6 +130,7 @@
         DirectoryService(BACKEND_COLLECTION, decode_backend),
         DaemonsService(settings),
         StoreContactService(),
+        SettlingService(),
         RelayService(first_start=settings.first_start),
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PermitService(),
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -69,7 +69,8 @@
 
     ``calls_by_kind`` counts every attempt of a call, watches included, by the name
     of its class. ``last_answer_at`` is the time of the last successful call. ``era`` is
-    that of the store's answers, which rises when the store has gone back to a copy.
+    that of the store's answers, which rises when the store has gone back to a copy, and
+    ``era_since`` the time of this client's first answer in it.
     """
 
     name = "store"
@@ -85,6 +86,7 @@
         "_failing_since",
         "_answering_since",
         "era",
+        "era_since",
     )
 
     def __init__(self, transport, *, timeout_s=CALL_TIMEOUT_S):
@@ -103,6 +105,7 @@
         self._failing_since = None
         self._answering_since = math.inf
         self.era = 0
+        self.era_since = math.inf
 
     async def start(self, kernel):
         """Use the clock and the random numbers of ``kernel``."""
@@ -256,11 +259,14 @@
                 # Entries that were written since the copy are not back yet.
                 self._answering_since = self._kernel.clock.time()
             self.era = era
+            self.era_since = self._kernel.clock.time()
 
     def _record_answer(self, now):
         if now - self.last_answer_at > MAX_ANSWER_GAP_S:
             self._answering_since = now
         self.last_answer_at = now
+        # A store that tells no era has answered for the first time.
+        self.era_since = min(self.era_since, now)
         if self._failing_since is None:
             return
         away_s = now - self._failing_since
