--- a/features/platform/starts.feature
+++ b/features/platform/starts.feature
@@ -69,6 +69,27 @@
     And 3 seconds pass
     Then never did two hold the lease
 
+  # Guards against: a daemon takes the lease again while it stops, so that its successor
+  # waits until that has expired.
+  Scenario Outline: A leader that stops while the store answers after <slow> seconds leaves the lease released
+    Given <passed> seconds have passed
+    When the answers of the store take <slow> seconds, and the leader is stopped <later> seconds later
+    Then the lease in the store is released
+
+    Examples:
+      | passed | slow | later |
+      | 0.1    | 0.9  | 1.0   |
+      | 0.5    | 0.9  | 1.3   |
+      | 0.1    | 0.9  | 1.6   |
+      | 0.1    | 0.5  | 1.0   |
+      | 0.5    | 0.5  | 1.3   |
+      | 0.1    | 0.5  | 1.9   |
+
+  # Guards against: the lease stays held after a stop during a renewal that took effect.
+  Scenario: A leader that stops while its renewal is not answered leaves the lease released
+    When the store answers no write for 0.95 seconds, and the leader is stopped
+    Then the lease in the store is released
+
   # Guards against: repair stands still since a daemon that restarts in calm waits.
   Scenario: A leader that is killed and starts again in calm leads within 1 second of its start
     Given 7 seconds have passed
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -188,6 +188,46 @@
     context.simulation.run(run())
 
 
+@when(
+    "the answers of the store take {slow:g} seconds, and the leader is stopped"
+    " {later:g} seconds later"
+)
+def when_leader_stopped(context, slow, later):
+    fleet = context.simulation.fleet
+
+    async def run():
+        (leader,) = fleet.leader_names()
+        context.released_by = leader
+        fleet.store.faults.slow_s = slow
+        await asyncio.sleep(later)
+        assert leader in fleet.leader_names()
+        await fleet.stop_daemon(leader)
+
+    context.simulation.run(run())
+
+
+@when("the store answers no write for {seconds:g} seconds, and the leader is stopped")
+def when_leader_stopped_unanswered(context, seconds):
+    fleet = context.simulation.fleet
+
+    async def run():
+        (leader,) = fleet.leader_names()
+        context.released_by = leader
+        fleet.store.faults.lose_answer_share = 1.0
+        await asyncio.sleep(seconds)
+        fleet.store.faults.lose_answer_share = 0.0
+        await fleet.stop_daemon(leader)
+
+    context.simulation.run(run())
+
+
+@then("the lease in the store is released")
+def then_released(context):
+    objects = context.simulation.fleet.store.objects_by_kind["leases"]
+    holder = objects["formation"]["specification"]["holder"]
+    assert holder == "", (holder, context.released_by)
+
+
 @then("every group of before is open")
 def then_same_groups(context):
     groups = _open_groups(context.simulation.fleet)
--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -1,11 +1,13 @@
 """Leader election by a lease object in the platform's store."""
 
+import asyncio
+
 from logbook import Logger
 
 from pimentogap.errors import StoreError
 from pimentogap.kernel import RestartOnError
 from pimentogap.schema import read_count
-from pimentogap.store import Conflict, Put, Revision, Written
+from pimentogap.store import Conflict, Put, Revision, Stored, Written
 
 log = Logger("formation.lease")
 
@@ -82,6 +84,7 @@
         "_settling",
         "_seen",
         "_held_until",
+        "_competing",
         "_highest_term",
         "term",
         "is_first",
@@ -99,6 +102,7 @@
         self._settling = None
         self._seen = None
         self._held_until = 0.0
+        self._competing = None
         self._highest_term = 0
         self.term = 0
         self.is_first = False
@@ -108,17 +112,32 @@
         self._kernel = kernel
         self._store = kernel.get("store")
         self._settling = kernel.get("settling")
-        kernel.spawn(self.name, self._compete, on_error=RestartOnError())
+        self._competing = kernel.spawn(
+            self.name, self._compete, on_error=RestartOnError()
+        )
 
     async def stop(self):
         """Release the lease, so that a successor need not wait for its expiry."""
+        # It would take the lease again while this one is released.
+        self._competing.cancel()
+        await asyncio.wait([self._competing])
         if not self.is_held():
             return
         self._held_until = 0.0
+        outcome = await self._release(self._seen.version)
+        match outcome:
+            case Conflict(Stored() as current) if self._is_own(current):
+                # A renewal that was under way came first.
+                outcome = await self._release(current.version)
+        log.notice("lease released", term=self.term, outcome=type(outcome).__name__)
+
+    async def _release(self, version):
         value = {"holder": "", "term": self.term}
-        call = Put(COLLECTION, OBJECT, value, self._seen.version)
-        await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S)
-        log.notice("lease released", term=self.term)
+        call = Put(COLLECTION, OBJECT, value, version)
+        return await self._store.write(call, retry_for_s=WRITE_RETRY_LIMIT_S)
+
+    def _is_own(self, stored):
+        return self._seen_lease(stored).holder == self._id
 
     def is_held(self):
         """Return whether this daemon holds the lease and may send orders now."""
