--- a/features/platform/starts.feature
+++ b/features/platform/starts.feature
@@ -23,6 +23,25 @@
       | after  | at their next beats   |
       | after  | all at once 2 s later |
 
+  # Guards against: an entry of the copy is believed that its server, cut off from the
+  # store, cannot correct (TWO, PARTIAL).
+  Scenario Outline: Servers that cannot correct their entries in the copy are left alone (<who>, leader back <when> the store)
+    When the leader is killed, and starts again <when> the store comes back from the copy, to which replicas write at their next beats, but for the <who> of a group
+    And 3.5 seconds pass
+    Then every group of before is open
+    When 30 seconds pass
+    Then no replica was in two groups, and no incomplete group ran a request
+    And there are at least 2 open groups of model large
+
+    Examples:
+      | who         | when   |
+      | head        | before |
+      | head        | after  |
+      | last member | before |
+      | last member | after  |
+      | members     | before |
+      | members     | after  |
+
   # Guards against: the same where no daemon has any memory, or the one that starts has
   # another name.
   Scenario Outline: <who> in a copy of the store leaves open groups alone
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -13,6 +13,8 @@
 RESTART_S = 0.3
 BEAT_S = 1.2
 LATE_S = 2.0
+# An entry that nobody writes is removed after three beats.
+EXPIRY_S = 3 * BEAT_S
 TICK_S = 0.05
 
 
@@ -257,10 +259,39 @@
     store.faults.down = False
     match how:
         case "at their next beats":
-            beats = random.Random(1)
-            for replica in context.simulation.fleet.replicas_by_id.values():
-                loop.call_later(beats.uniform(0.0, BEAT_S), replica.publish)
+            _write_at_beats(context.simulation.fleet)
         case "all at once 2 s later":
             loop.call_later(LATE_S, store.write_again)
+        case "at their next beats, but for the head of a group":
+            _write_but_for(context, lambda members: members[:1])
+        case "at their next beats, but for the last member of a group":
+            _write_but_for(context, lambda members: members[-1:])
+        case "at their next beats, but for the members of a group":
+            _write_but_for(context, lambda members: members)
         case _:
             raise AssertionError(how)
+
+
+def _write_but_for(context, choose):
+    """Let all replicas write again but for some of an open group, chosen by rank.
+
+    The spares of the fabric domain are lost, so that a new group there would need them.
+    """
+    fleet = context.simulation.fleet
+    head = fleet.open_group_heads("large")[0]
+    loop = asyncio.get_running_loop()
+    for id_ in choose(head.place.members):
+        fleet.replicas_by_id[id_].cut_from_store = True
+        loop.call_later(EXPIRY_S, fleet.store.remove, "servers", id_)
+    for spare in fleet.replicas_by_id.values():
+        if spare.domain == head.domain and spare.place is None:
+            fleet.lose_replica(spare.id)
+            fleet.store.remove("servers", spare.id)
+    _write_at_beats(fleet)
+
+
+def _write_at_beats(fleet):
+    beats = random.Random(1)
+    for replica in fleet.replicas_by_id.values():
+        delay_s = beats.uniform(0.0, BEAT_S)
+        asyncio.get_running_loop().call_later(delay_s, replica.publish)
--- a/pimentogap/formation/_forming.py
+++ b/pimentogap/formation/_forming.py
@@ -1,5 +1,7 @@
 """The state of a model group from the first join order until its head is open."""
 
+from pimentogap.types import BackendState, MemberState
+
 # Time for every member to show in the backend list that it has begun to join.
 JOIN_TIMEOUT_S = 3.0
 # Factor on the load time of a model: concurrent loads from the weight store slow
@@ -39,3 +41,18 @@
         self.members = members
         self.join_deadline = now + JOIN_TIMEOUT_S
         self.ready_deadline = now + model.load_s * LOAD_TIMEOUT_FACTOR + JOIN_TIMEOUT_S
+
+
+def can_adopt(group, spec, losses):
+    """Return whether a `GroupView` that no leader forms may still become complete.
+
+    :param spec: the `ModelSpec` of the group's model.
+    :param losses: the `LossDetector`.
+    """
+    members = group.members_by_rank
+    return set(members) == set(range(spec.size)) and all(
+        not losses.is_lost(item.id)
+        and item.state is BackendState.READY
+        and item.membership.state in (MemberState.JOINING, MemberState.READY)
+        for item in members.values()
+    )
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -6,9 +6,10 @@
 
 from pimentogap.directory import MODEL_SEPARATOR, build_group_views, group_name
 from pimentogap.formation._absences import AbsenceProber
+from pimentogap.formation._confirmations import Confirmations
 from pimentogap.formation._demand import DemandMeter
 from pimentogap.formation._endings import GroupEndings
-from pimentogap.formation._forming import FormingGroup
+from pimentogap.formation._forming import FormingGroup, can_adopt
 from pimentogap.formation._loads import WeightLoads
 from pimentogap.formation._losses import LossDetector
 from pimentogap.formation._orders import OrderSender
@@ -71,6 +72,7 @@
         "_orders",
         "_losses",
         "_absences",
+        "_confirmations",
         "_present_by_id",
         "_free_since_by_id",
         "_endings",
@@ -108,6 +110,8 @@
         self._losses = LossDetector(self._kernel, self._engines)
         self._endings = GroupEndings(self._kernel.clock, self._orders, self._losses)
         self._absences = AbsenceProber(self._kernel, self._engines)
+        lifetime_s = self._settings.entry_lifetime_s
+        self._confirmations = Confirmations(self._kernel, self._engines, lifetime_s)
         self._present_by_id = {}
         self._free_since_by_id = {}
         self._demand = DemandMeter(self._kernel)
@@ -201,6 +205,7 @@
             and not self._losses.is_lost(backend.id)
             and not self._orders.may_still_join(backend.id)
             and backend.membership is None
+            and self._confirmations.is_free(backend)
         ]
         sizes_by_domain = {}
         for backend in backends:
@@ -246,12 +251,15 @@
     def _reconcile_group(self, service, key, group, specs):
         """Open a complete group; adopt or dissolve an incomplete one.
 
-        An incomplete group that is being formed is left to `_advance`.
+        An incomplete group that is being formed is left to `_advance`, one that is
+        known by entries that may be older copies is left as it is.
 
         :return: whether the group is complete and its members stay in it.
         """
         spec = specs.get(group.model)
         size = spec.size if spec else 0
+        if key not in self._forming_by_key and not self._confirmations.are_needless():
+            return True
         complete = group.is_complete(size) and not any(
             self._losses.is_lost(item.id) for item in group.members_by_rank.values()
         )
@@ -266,22 +274,12 @@
             return True
         if key in self._forming_by_key:
             return False
-        if spec is not None and self._can_adopt(group, spec):
+        if spec is not None and can_adopt(group, spec, self._losses):
             self._adopt(service, group, spec)
             return False
         self._endings.dissolve(group)
         return False
 
-    def _can_adopt(self, group, spec):
-        """Return whether a group that is not being formed may still become complete."""
-        members = group.members_by_rank
-        return set(members) == set(range(spec.size)) and all(
-            not self._losses.is_lost(item.id)
-            and item.state is BackendState.READY
-            and item.membership.state in (MemberState.JOINING, MemberState.READY)
-            for item in members.values()
-        )
-
     def _adopt(self, service, group, spec):
         now = self._kernel.clock.time()
         members = [group.members_by_rank[rank] for rank in range(spec.size)]
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -6,6 +6,10 @@
 from pimentogap.schema import Problem
 from pimentogap.settings import FrontSettings
 
+# Beats after whose loss the platform removes the entry of a backend server.
+BEATS_UNTIL_REMOVAL = 3
+DEFAULT_BEAT_MS = 1200
+
 
 def load_platform_settings(text):
     """Return the `FrontSettings` that the platform's YAML ``text`` describes.
@@ -44,6 +48,9 @@
         retry_window_s=float(bounds.get("budgetWindowS", 10)),
         retry_slack=float(bounds.get("retryBudgetSlack", 0)),
         react_s=float(bounds.get("stableWindowMs", 3000)) / 1000,
+        entry_lifetime_s=BEATS_UNTIL_REMOVAL
+        * float(data.get("beatIntervalMs") or DEFAULT_BEAT_MS)
+        / 1000,
         load_window_s=float(bounds.get("ceilingWindowS", 5)),
         # The share of a core that runs as fast as this many cores.
         cores=float(limits.get("cpuShare") or 1) * float(limits.get("cpuCores") or 1),
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -13,7 +13,8 @@
     ``retry_window_s``, and ``retry_slack`` besides. ``load_window_s`` is the window
     over which the rate of weight loads is limited. ``cores`` and ``link_mbps`` are
     what the VM gives the daemon. ``react_s`` is how soon daemons must act on what
-    they can know, when nothing hinders them.
+    they can know, when nothing hinders them. ``entry_lifetime_s`` is how long the entry
+    of a backend server stays in the store that it does not write again.
     """
 
     id: str
@@ -31,6 +32,7 @@
     retry_slack: float = 0.0
     load_window_s: float = 5.0
     react_s: float = 3.0
+    entry_lifetime_s: float = 3.6
     cores: float = 1.0
     link_mbps: float = 1000.0
 
