--- a/features/platform/starts.feature
+++ b/features/platform/starts.feature
@@ -71,6 +71,22 @@
       | released |
       | missing  |
 
+  # Guards against: lists that only the leader writes are lost for good with the leader that
+  # knew what the copy lacks, although all others know it.
+  Scenario Outline: What the others know is kept although the leader starts again <when> the store comes back
+    When the part "llm/bad" is quarantined by the leader
+    And a limit of 2 is reported to the leader
+    And 1 seconds pass
+    And the leader is killed, and starts again <when> the store comes back from the copy, to which replicas write at their next beats
+    And 6 seconds pass
+    Then the store lists every daemon, the part "llm/bad" and the limit of 2
+    And every daemon knows the part "llm/bad" and the limit of 2
+
+    Examples:
+      | when   |
+      | before |
+      | after  |
+
   # Guards against: a leader that has lost what it knew of its orders acts on the copy.
   Scenario: A leader sends no order before the entries are back
     When the platform's store, away for 0.5 seconds, comes back from a copy 4 seconds old, which is not corrected for 2 seconds
--- a/pimentogap/relay/_lists.py
+++ b/pimentogap/relay/_lists.py
@@ -4,7 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.errors import InvalidDocument
+from pimentogap.errors import InvalidDocument, PeerUnreachable, ResponseLost
 from pimentogap.store import Conflict, Put, Written
 
 log = Logger("relay.lists")
@@ -13,6 +13,7 @@
 # Pause between two writes, so that changes close together cost one.
 WRITE_INTERVAL_S = 0.3
 LEADER_CHECK_INTERVAL_S = 1.0
+OFFER_TIMEOUT_S = 0.4
 
 
 class LeaderList:
@@ -20,7 +21,8 @@
 
     A list has an ``order``, which every newer one exceeds. The store loses what the
     system wrote when it comes back from an older copy; the leader then writes its list
-    again.
+    again. It may have started since and know that of the copy alone, so the candidates
+    for the lease send it theirs.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "_accept",
         "_version",
         "_stored_order",
+        "_went_back",
         "_unwritten",
     )
 
@@ -56,13 +59,19 @@
         self._accept = accept
         self._version = 0
         self._stored_order = empty.order
+        self._went_back = False
         self._unwritten = asyncio.Event()
+        kernel.get("calls").register(self._offer_call, self._answer_offer)
+
+    @property
+    def _offer_call(self):
+        return f"newer_list_{self._collection}"
 
     def apply_update(self, update):
         """Follow the object by a `CollectionUpdate` of its collection."""
         if not has_object(update, self._name):
             self._version = 0
-            self._stored_order = (0, 0)
+            self._set_stored_order((0, 0))
             self._unwritten.set()
         stored = update.objects + tuple(
             change.stored for change in update.changes if not change.removed
@@ -105,14 +114,40 @@
                 pass
             self._unwritten.clear()
             current = self._current()
-            if not lease.is_held() or current.order <= self._stored_order:
+            if current.order <= self._stored_order:
+                self._went_back = False
+                continue
+            if not lease.is_held():
+                if self._went_back and self._kernel.get("daemons").is_candidate():
+                    await self._offer(current, lease.leader_address)
                 continue
             if not await self._write(current):
                 self._unwritten.set()
             await clock.sleep(WRITE_INTERVAL_S)
 
+    async def _offer(self, listed, address):
+        """Send the list to the daemon at ``address``, which leads or will soon."""
+        if not address:
+            return
+        body = {"list": self._encode(listed)}
+        try:
+            await self._kernel.get("calls").call(
+                address, self._offer_call, body, timeout_s=OFFER_TIMEOUT_S
+            )
+        except (PeerUnreachable, ResponseLost) as error:
+            log.debug("list not offered", leader=address, error=str(error))
+
+    async def _answer_offer(self, body):
+        self.apply_document(body.get("list"))
+        self._unwritten.set()
+        return {}
+
+    def _set_stored_order(self, order):
+        self._went_back = self._went_back or order < self._stored_order
+        self._stored_order = order
+
     def _record_stored(self, document):
-        self._stored_order = self.apply_document(document) or (0, 0)
+        self._set_stored_order(self.apply_document(document) or (0, 0))
         if self._stored_order < self._current().order:
             self._unwritten.set()
 
