--- a/fuzz/_front.py
+++ b/fuzz/_front.py
@@ -19,7 +19,7 @@
 EVENTS_PER_STREAM = 27
 SOUND_PART = "sound"
 DEADLY_PART = "deadly"
-WRITE_AGAIN_S = 0.3
+WRITE_AGAIN_S = 2.0
 # Longer than the longest time to the trial of a quarantined part.
 RELEASE_LIMIT_S = 65.0
 
@@ -105,7 +105,8 @@
 class GoBack:
     """The store comes back from a copy of ``age_s`` seconds ago.
 
-    What the operator and the replicas wrote since is written again a little later.
+    What the operator and the replicas wrote since is written again within
+    `WRITE_AGAIN_S`, each object at its own moment.
     """
 
     age_s: float
@@ -205,9 +206,7 @@
                 fleet.store.put("config", "main", document)
             case GoBack(age_s):
                 fleet.store.go_back(age_s)
-                asyncio.get_running_loop().call_later(
-                    WRITE_AGAIN_S, fleet.store.write_again
-                )
+                fleet.store.write_again(spread_s=WRITE_AGAIN_S)
             case NameLimit(index, text):
                 self._replica(index).limit_text = text
             case BadAnswers(lost, refused):
--- a/standins/emulator/_store.py
+++ b/standins/emulator/_store.py
@@ -167,13 +167,24 @@
         self.era += 1
         self._wake_watches()
 
-    def write_again(self):
-        """Write again what the operator and the replicas wrote last, if it is lost."""
-        for (kind, name), specification in list(self._newest_by_key.items()):
-            if specification is None:
-                self.remove(kind, name)
+    def write_again(self, *, spread_s=0.0):
+        """Write again what the operator and the replicas wrote last, if it is lost.
+
+        :param spread_s: time within which each object is written, at its own moment.
+        """
+        for kind, name in list(self._newest_by_key):
+            if spread_s:
+                delay_s = self._random.uniform(0.0, spread_s)
+                self._loop.call_later(delay_s, self._write_newest, kind, name)
             else:
-                self.put(kind, name, specification)
+                self._write_newest(kind, name)
+
+    def _write_newest(self, kind, name):
+        specification = self._newest_by_key[kind, name]
+        if specification is None:
+            self.remove(kind, name)
+        else:
+            self.put(kind, name, specification)
 
     async def handle(self, request, reply, source=""):
         """Answer one call of the object API; ``source`` is the name of the caller."""
