--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -156,6 +156,7 @@
             if self._term != self._lease.term:
                 self._start_term(self._lease.term)
                 log.notice("leading", term=self._term)
+            self._confirmations.ask()
             if self._readiness.may_act():
                 self._reconcile()
 
@@ -258,7 +259,7 @@
         """
         spec = specs.get(group.model)
         size = spec.size if spec else 0
-        if key not in self._forming_by_key and not self._confirmations.are_needless():
+        if key not in self._forming_by_key and self._confirmations.is_in_doubt(group):
             return True
         complete = group.is_complete(size) and not any(
             self._losses.is_lost(item.id) for item in group.members_by_rank.values()
