--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -196,7 +196,9 @@
                 revision = None
             except StoreError as error:
                 self._record_unavailable(subscription, error)
-                await clock.sleep(delay_s * self._kernel.random.uniform(0.7, 1.3))
+                pause_s = delay_s * self._kernel.random.uniform(0.7, 1.3)
+                # A call that the breaker refuses tells nothing new of the store.
+                await clock.sleep(min(pause_s, self._store.refuses_for_s()) or pause_s)
                 delay_s = min(MAX_RETRY_DELAY_S, delay_s * 1.5)
 
     async def _pause_between_reads(self, subscription, update, began_at):
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -48,9 +48,13 @@
         self._failures = 0
         self._open_until = 0.0
 
+    def open_s(self):
+        """Return for how many seconds the breaker stays open; 0 if it is not."""
+        return max(0.0, self._open_until - self._clock.time())
+
     def check(self):
         """Raise `StoreUnavailable` while the breaker is open."""
-        if self._clock.time() < self._open_until:
+        if self.open_s() > 0:
             raise StoreUnavailable("the store has failed several calls in a row")
 
     def record_success(self):
@@ -125,6 +129,10 @@
             return 0.0
         return max(0.0, now - self._answering_since)
 
+    def refuses_for_s(self):
+        """Return for how many seconds calls are refused without being sent."""
+        return self._breaker.open_s()
+
     async def get(self, collection, name, *, stale=False):
         """Return the `Stored` object, or ``None`` if there is none.
 
