--- a/features/platform/freshness.feature
+++ b/features/platform/freshness.feature
@@ -26,7 +26,7 @@
 
   Scenario: Who is further behind than the kept changes gets the whole copy at once
     Given a platform with 6 daemons in 3 availability zones
-    When 2 seconds pass
+    When 4 seconds pass
     And the leader is asked for changes since a revision before its own first
     Then it answers with its whole copy within 0.1 seconds
 
