--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -1,7 +1,6 @@
 """Checks of the platform's guarantees against the records of callers and replicas."""
 
 import json
-import math
 import time
 
 from soak._platform import VERSION_PATH
@@ -18,8 +17,6 @@
 SETTLE_S = 3.0
 CONFIGURATION_LIMIT_S = 2.0
 ROUTE_TIMEOUT_S = 1.2
-# The deadline of the callers' streams, the longest of all.
-STREAM_LIMIT_S = 6.0
 ANSWER_SLACK_S = 0.5
 
 
@@ -91,11 +88,11 @@
     """Return stops that took too long, and answers that planned work cut off.
 
     An answer counts if it is incomplete though a replica ran the request, and if
-    only planned work disturbed the daemon. It does not if a replica that ran it has
+    only planned work disturbed the daemon. It does not if the replica that had it last
     left meanwhile, and broke it off.
     """
     run_ids = {run.attempt_id for run in records.runs}
-    exits_by_id = _exits_by_id(records, leavings)
+    arrivals_by_id = _arrivals_by_id(records)
     problems = [
         f"{span.daemon}: {span.cause}"
         for span in injector.spans
@@ -106,7 +103,7 @@
             continue
         if attempt.has_left:
             continue
-        if exits_by_id.get(attempt.id, math.inf) <= attempt.ended_at:
+        if _was_broken_off(attempt, arrivals_by_id, leavings):
             continue
         started_at, ended_at = attempt.sent_at - SETTLE_S, attempt.ended_at
         has_fault = injector.was_disturbed(attempt.daemon, started_at, ended_at)
@@ -117,15 +114,29 @@
     return problems
 
 
-def _exits_by_id(records, leavings):
-    """Return when a replica that had a request exited, by the request's id."""
-    return {
-        arrival.attempt_id: leaving.ended_at
+def _arrivals_by_id(records):
+    """Return the arrivals of each request at replicas, by its id, in order of time."""
+    found_by_id = {}
+    for arrival in sorted(records.arrivals, key=lambda item: item.arrived_at):
+        found_by_id.setdefault(arrival.attempt_id, []).append(arrival)
+    return found_by_id
+
+
+def _was_broken_off(attempt, arrivals_by_id, leavings):
+    """Return whether the replica that had ``attempt`` last exited before its end."""
+    arrivals = [
+        arrival
+        for arrival in arrivals_by_id.get(attempt.id, ())
+        if attempt.sent_at <= arrival.arrived_at <= attempt.ended_at
+    ]
+    if not arrivals:
+        return False
+    last = arrivals[-1]
+    return any(
+        leaving.replica == last.replica
+        and last.arrived_at <= leaving.ended_at <= attempt.ended_at
         for leaving in leavings
-        for arrival in records.arrivals
-        if arrival.replica == leaving.replica
-        and leaving.ended_at - STREAM_LIMIT_S < arrival.arrived_at <= leaving.ended_at
-    }
+    )
 
 
 def check_logs(folder):
