--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -7,8 +7,9 @@
 from logbook import Logger
 
 from pimentogap.errors import ConnectionFailed, ResponseLost, SendWithheld
-from pimentogap.forwarding._attempts import MAX_LOGGED_PARTS, Attempts
+from pimentogap.forwarding._attempts import Attempts
 from pimentogap.forwarding._events import EventFilter
+from pimentogap.forwarding._evidence import AttemptEvidence
 from pimentogap.forwarding._outcomes import (
     Abandoned,
     Delivered,
@@ -54,10 +55,6 @@
 RETRY_AFTER_STOPPING_S = 0.05
 # A daemon that starts again has read the configuration by then.
 RETRY_AFTER_START_S = 0.2
-# A prompt part that crashes backend servers does so when it begins to write; one that
-# was written on for this long is sound.
-SURVIVED_S = 0.5
-UNAVAILABLE_STATUS = 503
 # Requests that are not answered so long before the daemon's stop get a final answer.
 FINAL_ANSWER_MARGIN_S = 0.3
 TRIAL_CHECK_INTERVAL_S = 0.1
@@ -88,6 +85,7 @@
         "_pauses",
         "_permits",
         "_responder",
+        "_evidence",
         "_budget",
         "_stops_at",
         "_refuse_long_at",
@@ -113,6 +111,7 @@
         self._pauses = None
         self._permits = None
         self._responder = None
+        self._evidence = None
         self._budget = RetryBudget(
             ratio=settings.retry_ratio,
             window_s=settings.retry_window_s,
@@ -135,6 +134,7 @@
         self._pauses = kernel.get("pauses")
         self._permits = kernel.get("permits")
         self._responder = Responder(kernel, self._codec)
+        self._evidence = AttemptEvidence(kernel, self._pool)
 
     async def stop(self):
         """Close idle connections."""
@@ -317,7 +317,7 @@
             self._codec,
             self._kernel.clock,
             attempts.event_filter,
-            partial(self._record_wishes, backend, load),
+            partial(self._evidence.record_wishes, backend, load),
         )
         load.in_flight += 1
         exchange = asyncio.ensure_future(
@@ -346,28 +346,11 @@
             attempts.possible_runs -= 1
         if attempts.first_event_at is None:
             attempts.first_event_at = receiver.first_event_at
-        self._update_health(request, admitted, backend, load, outcome, receiver)
-        await self._report_parts(request, admitted, backend, outcome, receiver)
+        evidence = self._evidence
+        evidence.update_health(request, admitted, backend, load, outcome, receiver)
+        await evidence.report_parts(request, admitted, backend, outcome, receiver)
         return outcome
 
-    def _record_wishes(self, backend, load, answer):
-        """Record what an answer says of the requests that its server takes."""
-        self._permits.record_answer(backend, answer.limit)
-        if answer.leaving:
-            self._directory.record_leaving(backend)
-        if answer.status != UNAVAILABLE_STATUS or answer.retry_after_s is None:
-            return
-        if 0 <= answer.retry_after_s < math.inf:
-            now = self._kernel.clock.time()
-            load.ask_quiet(answer.retry_after_s, now)
-            log.info("quiet asked", backend=backend.id, seconds=answer.retry_after_s)
-        else:
-            log.warning(
-                "time of quiet not readable",
-                backend=backend.id,
-                seconds=repr(answer.retry_after_s),
-            )
-
     async def _exchange(self, request, admitted, attempts, backend, deadline, receiver):
         route = admitted.route
         resume_after = attempts.event_filter.last_id if attempts.event_filter else None
@@ -411,7 +394,9 @@
             if self._can_run_again(request, route, attempts):
                 wake_at = min(deadline, stalled_at(route, receiver, load, latency, now))
             if attempts.is_trial:
-                self._report_survival(request, admitted, attempts, receiver, now)
+                self._evidence.report_survival(
+                    request, admitted, attempts, receiver, now
+                )
                 wake_at = min(wake_at, now + TRIAL_CHECK_INTERVAL_S)
             watched = {exchange, self._quarantine.changed}
             if not self._last_call.done():
@@ -465,70 +450,3 @@
                     other.expected_requests(now) <= load.expected_requests(now)
                 )
         return False
-
-    def _report_survival(self, request, admitted, attempts, receiver, now):
-        """Report a trial whose answer goes on, before it is complete."""
-        first_at = receiver.first_event_at
-        if first_at is not None and now - first_at >= SURVIVED_S:
-            attempts.is_trial = False
-            parts = request.needs.shared_parts
-            self._quarantine.record_answer(admitted.service, parts)
-
-    async def _report_parts(self, request, admitted, backend, outcome, receiver):
-        """Report what the outcome of an attempt says of the parts of its prompt."""
-        parts = request.needs.shared_parts
-        if not parts or not admitted.route.carries_model:
-            return
-        now = self._kernel.clock.time()
-        first_at = receiver.first_event_at
-        has_survived = first_at is not None and now - first_at >= SURVIVED_S
-        match outcome:
-            case Delivered():
-                self._quarantine.record_answer(admitted.service, parts)
-            case _ if has_survived:
-                self._quarantine.record_answer(admitted.service, parts)
-            case Lost():
-                await self._quarantine.report_lost(
-                    admitted.service, parts, backend, request.needs.attempt_id
-                )
-
-    def _update_health(self, request, admitted, backend, load, outcome, receiver):
-        now = self._kernel.clock.time()
-        latency = self._placement.latency(admitted.service, request.needs.model)
-        match outcome:
-            case TimedOut() if now < stalled_at(
-                admitted.route, receiver, load, latency, now
-            ):
-                log.info(
-                    "deadline reached by a slow answer",
-                    backend=backend.id,
-                    id=request.needs.attempt_id,
-                )
-            case NotSent() | Lost() | Stalled() | TimedOut():
-                load.suspect(now)
-                # Idle connections to it may be dead as well.
-                self._pool.close_idle(backend.address)
-                log.info(
-                    "backend suspect",
-                    backend=backend.id,
-                    incarnation=backend.incarnation,
-                    outcome=repr(outcome),
-                    id=request.needs.attempt_id,
-                    begun=receiver.first_event_at is not None,
-                    parts=request.needs.shared_parts[:MAX_LOGGED_PARTS],
-                )
-                self._raise_alarm(backend)
-            case NotRun(status=421):
-                load.suspect(now)
-            case NotRun(culprit=culprit) if culprit:
-                # The answer names the server at fault, such as a member of the
-                # group. The head is suspected, since its group cannot serve
-                # without that member.
-                load.suspect(now)
-                log.info("backend suspect", backend=backend.id, culprit=culprit)
-                self._raise_alarm(backend)
-
-    def _raise_alarm(self, backend):
-        alarms = self._kernel.find("alarms")
-        if alarms is not None and backend.membership is not None:
-            alarms.suspect(backend)
