Decode the timings of engines, cold servers, ranks and token counts

The configuration, the entries of servers and the headers of requests say what a group's work costs, how long a server is cold and which requests rank first; nothing read it. The types are shared by the parts that are built on them next. A figure that cannot be used is logged and switches off what depends on it.

--- a/pimentogap/platform/_backends.py
+++ b/pimentogap/platform/_backends.py
@@ -9,6 +9,7 @@
 MEMBER_STATES_BY_NAME = {state.value: state for state in MemberState}
 
 
+MS_PER_S = 1000
 MAX_PORT = 65535
 MAX_SLOTS = 100_000
 MAX_NAME_CHARS = 1000
@@ -45,6 +46,7 @@
         models=_names(data.get("models")),
         staged=_names(data.get("staged")),
         membership=membership,
+        cold_left_s=max(0, _int_or_default(data.get("coldLeftMs"), 0)) / MS_PER_S,
     )
 
 
--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -1,10 +1,13 @@
 """Decodes the operator's configuration document."""
 
+from logbook import Logger
+
 from pimentogap.errors import InvalidDocument
 from pimentogap.schema import Problem
 from pimentogap.types import (
     CallerLimits,
     EngineSpec,
+    EngineTimings,
     ModelSpec,
     Route,
     RouteKind,
@@ -13,7 +16,14 @@
     Split,
 )
 
+log = Logger("platform.configuration")
+
+MAX_LOGGED_CHARS = 40
 MS_PER_S = 1000.0
+TOKENS_PER_K = 1000.0
+PAIRS_PER_M = 1e6
+# No figure of an engine, rate or rank is larger than this.
+MAX_FIGURE = 1e12
 KINDS_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -49,6 +59,7 @@
         limits=_limits(data.get("limits") or {}),
         workspaces_by_key=_workspaces(data.get("tenants")),
         routes_by_host=by_host,
+        priorities_by_workspace=_priorities(data.get("tenants")),
     )
 
 
@@ -68,6 +79,7 @@
         # A sticky route in the platform's terms: its requests name a model.
         carries_model=bool(item.get("sticky", False)),
         resumable=bool(item.get("streamResume", False)),
+        priority=int(_figure(item, "priority")),
     )
 
 
@@ -86,6 +98,8 @@
         name=item["name"],
         engine=_engine(engine) if engine else None,
         health_path=str(item.get("healthPath") or "/health"),
+        cold_s=_figure(item, "coldStartS"),
+        cold_per_s=_figure(item, "coldPerS"),
     )
 
 
@@ -104,9 +118,48 @@
         models=models,
         loads_per_s=float(item.get("loadsPerS") or 4),
         loads_at_once=int(item.get("loads_at_once") or 6),
+        slots=int(_figure(item, "slots")),
+        memory_tokens=int(_figure(item, "kvCapacity")),
+        timings=_timings(item),
     )
 
 
+def _timings(item):
+    """Return the `EngineTimings` of an engine, ``None`` if it names no step."""
+    step_s = _figure(item, "step_ms") / MS_PER_S
+    if not step_s:
+        return None
+    usual = item.get("usual")
+    usual = usual if isinstance(usual, dict) else {}
+    return EngineTimings(
+        step_s=step_s,
+        per_sequence_s=_figure(item, "per_seq_ms") / MS_PER_S,
+        per_context_token_s=_figure(item, "context_per_k") / MS_PER_S / TOKENS_PER_K,
+        prompt_tokens_per_s=_figure(item, "read_per_s"),
+        attention_pair_s=_figure(item, "pairs_per_m") / MS_PER_S / PAIRS_PER_M,
+        chunk_tokens=int(_figure(item, "chunk")) or EngineTimings.chunk_tokens,
+        stride=max(1, int(_figure(item, "stride"))),
+        usual_prompt_tokens=_figure(usual, "prompt"),
+        usual_answer_tokens=_figure(usual, "answer"),
+    )
+
+
+def _figure(item, key):
+    """Return the number under ``key``, 0 if it is missing or of no use.
+
+    A figure that cannot be used switches off what depends on it; it does not make the
+    whole configuration unreadable.
+    """
+    value = item.get(key)
+    if value is None:
+        return 0.0
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0 <= value <= MAX_FIGURE:
+        return float(value)
+    log.warning("figure not usable", field=key, value=repr(value)[:MAX_LOGGED_CHARS])
+    return 0.0
+
+
 def _limits(item):
     return CallerLimits(
         max_header_bytes=int(item.get("maxHeaderBytes") or 16384),
@@ -115,6 +168,14 @@
     )
 
 
+def _priorities(tenants):
+    return {
+        tenant["name"]: int(_figure(tenant, "priority"))
+        for tenant in tenants or ()
+        if tenant.get("priority") is not None
+    }
+
+
 def _workspaces(tenants):
     if not tenants:
         return None
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -25,12 +25,15 @@
 FAULTY_SERVER = "At-Server"
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+COLD_LEFT = "X-Pimentogap-Cold-Ms"
+TOKEN_COUNT = "X-Pimentogap-Token-Count"
 RETRY_AFTER = "Retry-After"
 LAST_EVENT = "Last-Event-Id"
 AUTHORIZATION = "Authorization"
 BEARER_PREFIX = "bearer "
 MS_PER_S = 1000
 MAX_PART_ID_CHARS = 40
+MAX_TOKENS = 10**9
 MAX_LOGGED_LIMIT_CHARS = 40
 
 # Hop-by-hop headers, and headers that the daemon sets itself.
@@ -67,6 +70,7 @@
     def needs(self, headers):
         """Return the `RequestNeeds` decoded from a request's ``headers``."""
         deadline_ms = _float_or_none(headers.get(DEADLINE))
+        prompt_tokens, max_answer_tokens = _token_counts(headers.get(TOKEN_COUNT))
         return RequestNeeds(
             attempt_id=self.decode_attempt_id(headers),
             deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
@@ -74,6 +78,8 @@
             model=headers.get(MODEL, ""),
             last_event_id=decimal_or_none(headers.get(LAST_EVENT, "").strip()),
             shared_parts=_shared_parts(headers.get(PROMPT_PARTS)),
+            prompt_tokens=prompt_tokens,
+            max_answer_tokens=max_answer_tokens,
         )
 
     def decode_attempt_id(self, headers):
@@ -132,6 +138,7 @@
             culprit=headers.get(FAULTY_SERVER),
             limit=_limit(headers.get(LIMIT)),
             leaving=headers.get(LEAVING) == "1",
+            cold_left_s=_milliseconds(headers.get(COLD_LEFT)),
         )
 
     def response_headers(self, headers):
@@ -183,6 +190,20 @@
     return EngineLoad(*numbers)
 
 
+def _token_counts(text):
+    """Return the tokens of the prompt and the most of the answer, 0 where unknown."""
+    counts = [decimal_or_none(part.strip()) for part in (text or "").split(",")]
+    if len(counts) != 2 or None in counts:
+        return 0, 0
+    return tuple(min(count, MAX_TOKENS) for count in counts)
+
+
+def _milliseconds(text):
+    """Return the seconds that a number of milliseconds is, ``None`` if unreadable."""
+    milliseconds = decimal_or_none((text or "").strip())
+    return None if milliseconds is None else milliseconds / MS_PER_S
+
+
 def _seconds(text):
     """Return seconds, ``None`` if there is no text, NaN if it is no number."""
     if text is None:
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -55,4 +55,10 @@
         # The share of a core that runs as fast as this many cores.
         cores=float(limits.get("cpuShare") or 1) * float(limits.get("cpuCores") or 1),
         link_mbps=float(limits.get("linkMbps") or 1000),
+        memory_mb=float(limits.get("memoryMb") or FrontSettings.memory_mb),
+        max_descriptors=int(limits.get("maxFds") or FrontSettings.max_descriptors),
+        cold_overrun=float(bounds.get("coldOverrun") or 1.0),
+        cold_slack=float(bounds.get("coldSlack") or 0.0),
+        evacuation_s=float(bounds.get("evacuateMs") or 0) / 1000,
+        shares_pools="pool" in (data.get("contracts") or ()),
     )
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -14,7 +14,13 @@
     over which the rate of weight loads is limited. ``cores`` and ``link_mbps`` are
     what the VM gives the daemon. ``react_s`` is how soon daemons must act on what
     they can know, when nothing hinders them. ``entry_lifetime_s`` is how long the entry
-    of a backend server stays in the store that it does not write again.
+    of a backend server stays in the store that it does not write again. ``memory_mb``
+    and ``max_descriptors`` are what a process may use before the platform ends it or
+    refuses it sockets. A backend server that is cold gets at most ``cold_overrun``
+    times its rate and ``cold_slack`` requests in a second from all daemons.
+    ``evacuation_s`` is the time in which a zone's evacuation takes effect, 0 if zones
+    are not evacuated. ``shares_pools`` says that many daemons share pools of backend
+    servers, of which each sees a small part of the traffic.
     """
 
     id: str
@@ -35,6 +41,12 @@
     entry_lifetime_s: float = 3.6
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_mb: float = 300.0
+    max_descriptors: int = 4096
+    cold_overrun: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_s: float = 0.0
+    shares_pools: bool = False
 
     @property
     def metrics_address(self):
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -27,7 +27,8 @@
     ``first_byte_s`` is the latency objective for the answer or for the first event
     of a stream, ``max_gap_s`` the one for the gap between two events.
     ``carries_model`` says whether its requests name a model, ``resumable`` whether
-    a stream can go on after the last event that the caller got.
+    a stream can go on after the last event that the caller got. ``priority`` is the
+    rank among routes, 0 the highest.
     """
 
     name: str
@@ -42,6 +43,7 @@
     needs_key: bool = True
     carries_model: bool = False
     resumable: bool = False
+    priority: int = 0
 
     @property
     def repeatable(self):
@@ -68,28 +70,60 @@
     load_s: float = 15.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineTimings:
+    """How long a group's work takes, before the factor `ModelSpec.pace`.
+
+    A step in which each running request gets a token takes ``step_s``, and
+    ``per_sequence_s`` and ``per_context_token_s`` times its context for each of them.
+    Prompts are read at ``prompt_tokens_per_s``, at most ``chunk_tokens`` in a step,
+    and ``attention_pair_s`` more for each pair of a token and an earlier one. A pass
+    takes ``stride`` steps. ``usual_prompt_tokens`` and ``usual_answer_tokens`` are
+    the means of all requests.
+    """
+
+    step_s: float
+    per_sequence_s: float = 0.0
+    per_context_token_s: float = 0.0
+    prompt_tokens_per_s: float = 0.0
+    attention_pair_s: float = 0.0
+    chunk_tokens: int = 2048
+    stride: int = 1
+    usual_prompt_tokens: float = 0.0
+    usual_answer_tokens: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSpec:
     """The models of a service and the limits on loads from the weight store.
 
     ``loads_at_once`` is the number of loads up to which each runs at full speed.
+    ``slots`` requests run at once in a group, whose memory holds ``memory_tokens``;
+    0 if the configuration does not say. ``timings`` is ``None`` if it has none.
     """
 
     models: tuple
     loads_per_s: float = 4.0
     loads_at_once: int = 6
+    slots: int = 0
+    memory_tokens: int = 0
+    timings: EngineTimings | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceSpec:
     """A service that routes lead to; ``engine`` is ``None`` for a plain service.
 
-    ``health_path`` is where its backend servers answer health checks.
+    ``health_path`` is where its backend servers answer health checks. One that has
+    started less than ``cold_s`` seconds ago bears ``cold_per_s`` requests a second
+    from all daemons together; 0 if the configuration names no such limit.
     """
 
     name: str
     engine: EngineSpec | None = None
     health_path: str = "/health"
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -106,7 +140,8 @@
     """One version of the configuration by which requests are admitted and routed.
 
     ``workspaces_by_key`` maps callers' keys to workspaces; it is ``None`` if the
-    platform configures no workspaces.
+    platform configures no workspaces. ``priorities_by_workspace`` has the rank of
+    each workspace that names one, which goes before that of the route.
     """
 
     version: int
@@ -115,6 +150,11 @@
     limits: CallerLimits
     workspaces_by_key: dict | None = None
     routes_by_host: dict = field(default_factory=dict)
+    priorities_by_workspace: dict = field(default_factory=dict)
+
+    def priority(self, route, workspace):
+        """Return the rank of requests of ``workspace`` on ``route``, 0 the highest."""
+        return self.priorities_by_workspace.get(workspace, route.priority)
 
 
 class BackendState(StrEnum):
@@ -150,7 +190,8 @@
 
     ``incarnation`` distinguishes the starts of the server behind ``id``: it grows
     with each one. ``domain`` is the fabric domain, ``staged`` names the models whose
-    weights are on the host.
+    weights are on the host. ``cold_left_s`` is how much longer the server was to be
+    cold when it wrote the entry.
     """
 
     id: str
@@ -164,6 +205,7 @@
     models: tuple = ()
     staged: tuple = ()
     membership: Membership | None = None
+    cold_left_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -173,7 +215,8 @@
     ``key`` is the caller's key. ``deadline_s`` is the time left for the request,
     and ``last_event_id`` the last event that the caller has of a stream.
     ``shared_parts`` are the ids of the parts of its prompt that other requests may
-    have as well, in order.
+    have as well, in order. ``prompt_tokens`` and ``max_answer_tokens`` are 0 if the
+    request does not state them.
     """
 
     attempt_id: str
@@ -182,6 +225,8 @@
     model: str = ""
     last_event_id: int | None = None
     shared_parts: tuple = ()
+    prompt_tokens: int = 0
+    max_answer_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +265,8 @@
     request did not run. ``culprit`` is the server that the answer names as the cause
     of its failure, if it names one. ``limit`` is a `NoLimit`, `NamedLimit` or
     `UnreadableLimit`. ``retry_after_s`` is NaN if it cannot be read. ``leaving`` says
-    that the backend server is about to end.
+    that the backend server is about to end. ``cold_left_s`` is how much longer it is
+    cold, ``None`` if the answer does not say.
     """
 
     status: int
@@ -232,3 +278,4 @@
     culprit: str | None = None
     limit: NoLimit | NamedLimit | UnreadableLimit = NoLimit()
     leaving: bool = False
+    cold_left_s: float | None = None
