Take the defaults of settings from constants

A class attribute of a slotted data class is its descriptor, not the default: settings without memoryMb and engines without chunk were refused as invalid.

--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -24,6 +24,7 @@
 PAIRS_PER_M = 1e6
 # No figure of an engine, rate or rank is larger than this.
 MAX_FIGURE = 1e12
+DEFAULT_CHUNK_TOKENS = 2048
 KINDS_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -137,7 +138,7 @@
         per_context_token_s=_figure(item, "context_per_k") / MS_PER_S / TOKENS_PER_K,
         prompt_tokens_per_s=_figure(item, "read_per_s"),
         attention_pair_s=_figure(item, "pairs_per_m") / MS_PER_S / PAIRS_PER_M,
-        chunk_tokens=int(_figure(item, "chunk")) or EngineTimings.chunk_tokens,
+        chunk_tokens=int(_figure(item, "chunk")) or DEFAULT_CHUNK_TOKENS,
         stride=max(1, int(_figure(item, "stride"))),
         usual_prompt_tokens=_figure(usual, "prompt"),
         usual_answer_tokens=_figure(usual, "answer"),
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -9,6 +9,8 @@
 # Beats after whose loss the platform removes the entry of a backend server.
 BEATS_UNTIL_REMOVAL = 3
 DEFAULT_BEAT_MS = 1200
+DEFAULT_MEMORY_MB = 300
+DEFAULT_MAX_DESCRIPTORS = 4096
 
 
 def load_platform_settings(text):
@@ -55,8 +57,8 @@
         # The share of a core that runs as fast as this many cores.
         cores=float(limits.get("cpuShare") or 1) * float(limits.get("cpuCores") or 1),
         link_mbps=float(limits.get("linkMbps") or 1000),
-        memory_mb=float(limits.get("memoryMb") or FrontSettings.memory_mb),
-        max_descriptors=int(limits.get("maxFds") or FrontSettings.max_descriptors),
+        memory_mb=float(limits.get("memoryMb") or DEFAULT_MEMORY_MB),
+        max_descriptors=int(limits.get("maxFds") or DEFAULT_MAX_DESCRIPTORS),
         cold_overrun=float(bounds.get("coldOverrun") or 1.0),
         cold_slack=float(bounds.get("coldSlack") or 0.0),
         evacuation_s=float(bounds.get("evacuateMs") or 0) / 1000,
