Send nothing to availability zones that the operator has evacuated

Callers saw nothing of it, but servers of an evacuated zone went on getting requests: nobody read the operator's evacuations. The directory now leaves such servers out of the heads and plain servers to choose from, and of the check before a send; the leader forms no groups there. A daemon is ready only once it knows of them.

--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -38,6 +38,8 @@
     until the leader has probed the member and closed the group. An absent head
     gets no requests.
 
+    The backend servers of ``excluded_zones`` get no requests.
+
     A store that went back lists entries as they were before. What this daemon knew is
     newer: it holds until the entry is written again, or for `COPY_DOUBT_S`,
     and a server that is gone stays gone for `GHOST_LIMIT_S`.
@@ -52,6 +54,7 @@
         "loaded",
         "changed",
         "revision",
+        "excluded_zones",
         "_collection",
         "_decode",
         "_kernel",
@@ -77,6 +80,7 @@
         self.loaded = False
         self.changed = asyncio.Event()
         self.revision = 0
+        self.excluded_zones = frozenset()
         self._collection = collection
         self._decode = decode
         self._kernel = None
@@ -116,6 +120,11 @@
         available = self._available_by_id.get(backend.id)
         return available is not None and _identity(available) == _identity(backend)
 
+    def exclude_zones(self, zones):
+        """Keep requests away from the backend servers of exactly these ``zones``."""
+        self.excluded_zones = zones
+        self.invalidate()
+
     def record_leaving(self, backend):
         """Record that ``backend`` has said that it leaves, whatever the list says."""
         known = self.backends_by_id.get(backend.id)
@@ -338,6 +347,8 @@
         heads, plain = {}, {}
         services = configuration.services_by_name if configuration else {}
         for backend in self.backends_by_id.values():
+            if backend.availability_zone in self.excluded_zones:
+                continue
             service = services.get(backend.service)
             if service is None or service.engine is None:
                 if backend.state is BackendState.READY:
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -206,6 +206,7 @@
             and not self._losses.is_lost(backend.id)
             and not self._orders.may_still_join(backend.id)
             and backend.membership is None
+            and backend.availability_zone not in self._directory.excluded_zones
             and self._confirmations.is_free(backend)
         ]
         sizes_by_domain = {}
--- a/pimentogap/ingress/_service.py
+++ b/pimentogap/ingress/_service.py
@@ -78,6 +78,7 @@
         "serving_configuration",
         "directory",
         "quarantine",
+        "evacuations",
         "metrics",
     )
     __slots__ = (
@@ -88,6 +89,7 @@
         "_configuration",
         "_directory",
         "_quarantine",
+        "_evacuations",
         "_kernel",
         "_server",
         "_readiness",
@@ -110,6 +112,7 @@
         self._configuration = None
         self._directory = None
         self._quarantine = None
+        self._evacuations = None
         self._kernel = None
         self._server = None
         self._readiness = None
@@ -125,6 +128,7 @@
         self._configuration = kernel.get("serving_configuration")
         self._directory = kernel.get("directory")
         self._quarantine = kernel.get("quarantine")
+        self._evacuations = kernel.get("evacuations")
         metrics = kernel.get("metrics")
         self._server = CallerServer(self)
         self._server.add_sockets(_bind(self._settings.caller_address))
@@ -178,6 +182,7 @@
             and self._configuration.current is not None
             and self._directory.loaded
             and self._quarantine.loaded
+            and self._evacuations.loaded
         )
         if ready is not self._was_ready:
             log.notice("readiness", ready=ready, closing=self.closing)
--- a/pimentogap/platform/__init__.py
+++ b/pimentogap/platform/__init__.py
@@ -10,12 +10,14 @@
 BACKEND_COLLECTION = "servers"
 CONFIGURATION_COLLECTION = "config"
 CONFIGURATION_NAME = "main"
+EVACUATION_COLLECTION = "evacuations"
 SETTINGS_VARIABLE = "PIMENTOGAP_CONFIG"
 
 __all__ = [
     "BACKEND_COLLECTION",
     "CONFIGURATION_COLLECTION",
     "CONFIGURATION_NAME",
+    "EVACUATION_COLLECTION",
     "SETTINGS_VARIABLE",
     "HttpEngines",
     "ObjectTransport",
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -18,6 +18,7 @@
     ServingConfigurationService,
 )
 from pimentogap.errors import InvalidDocument
+from pimentogap.evacuations import EvacuationService
 from pimentogap.formation import FormationService, LeaseService
 from pimentogap.forwarding import ForwardingService
 from pimentogap.ingress import IngressService
@@ -32,6 +33,7 @@
     BACKEND_COLLECTION,
     CONFIGURATION_COLLECTION,
     CONFIGURATION_NAME,
+    EVACUATION_COLLECTION,
     SETTINGS_VARIABLE,
     HttpEngines,
     ObjectTransport,
@@ -120,6 +122,9 @@
     :param loop_holds: the `LoopHolds` of the event loop, for the metrics.
     """
     kernel = Kernel(clock=clock, seed=seed)
+    current_collections = [CONFIGURATION_COLLECTION, BACKEND_COLLECTION]
+    if settings.evacuation_s:
+        current_collections.append(EVACUATION_COLLECTION)
     for service in (
         MetricService(loop_holds),
         CallService(settings.inner_address, peer_transport),
@@ -128,11 +133,12 @@
             CONFIGURATION_COLLECTION, CONFIGURATION_NAME, decode_configuration
         ),
         DirectoryService(BACKEND_COLLECTION, decode_backend),
+        EvacuationService(EVACUATION_COLLECTION, settings.evacuation_s),
         DaemonsService(settings),
         StoreContactService(),
         SettlingService(),
         RelayService(first_start=settings.first_start),
-        PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
+        PauseService(tuple(current_collections)),
         PermitService(),
         PlacementService(),
         QuarantineService(settings.id, settings.react_s),
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -125,9 +125,15 @@
         "_call_handlers_by_address",
         "_seed",
         "_request_count",
+        "bounds",
     )
 
-    def __init__(self, *, seed=0):
+    def __init__(self, *, seed=0, bounds=None):
+        """Create an empty fleet.
+
+        :param bounds: figures that the settings of daemons name besides the usual ones.
+        """
+        self.bounds = bounds or {}
         self.network = EmulatedNetwork()
         self.store = ObjectStore(seed=seed)
         self.records = Records()
@@ -196,6 +202,7 @@
         """
         document = settings_document(name, zone=zone, ip=name, store=STORE_ADDRESS)
         document["bootstrap"] = first_start
+        document["bounds"].update(self.bounds)
         settings = load_platform_settings(yaml.safe_dump(document))
         client = self.network.client(name)
         kernel = assemble_front(
