--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -112,6 +112,7 @@
             Stub("serving_configuration", self.limits),
             Stub("directory"),
             Stub("quarantine"),
+            Stub("evacuations"),
             MetricService(),
             self.ingress,
         ):
