Bound what all daemons together send to a cold server

A cold server now counts as limited: its owner gives out permits at what it bears, with less saved up than for a named limit, and daemons that cannot reach the owner share a fifth of the bound, whose permits come at different times and expire. A server is cold by its entry, by an answer, after its zone was taken back, and, if it is plain, after it took no connection.

--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -6,6 +6,7 @@
 
 from logbook import Logger
 
+from pimentogap.directory._cold import ColdServers
 from pimentogap.directory._copies import CopyGuard, later_view
 from pimentogap.directory._groups import build_group_views
 from pimentogap.relay import REREGISTRATION_S
@@ -24,6 +25,8 @@
 # because a copy of the list has it, unless it writes its entry again. By then the entry
 # has expired if nobody writes it.
 GHOST_LIMIT_S = 10.0
+# A server that took no connection is tried again within this time.
+RETURN_DOUBT_S = 8.0
 # Ids in the log line of a change that the leader logs in full.
 MAX_LOGGED_IDS = 5
 MAX_LOGGED_CHARS = 100
@@ -65,6 +68,7 @@
         "_indexed_configuration",
         "_deferred_by_id",
         "_copies",
+        "_cold",
     )
 
     def __init__(self, collection, decode):
@@ -91,6 +95,7 @@
         self._indexed_configuration = None
         self._deferred_by_id = {}
         self._copies = CopyGuard()
+        self._cold = ColdServers()
 
     async def start(self, kernel):
         """Follow the collection through the relay service."""
@@ -120,8 +125,46 @@
         available = self._available_by_id.get(backend.id)
         return available is not None and _identity(available) == _identity(backend)
 
+    def cold_left_s(self, backend):
+        """Return how much longer ``backend`` may be cold, in seconds."""
+        return self._cold.left_s(backend, self._kernel.clock.time())
+
+    def record_cold(self, backend, left_s):
+        """Record that an answer of ``backend`` says that it is cold."""
+        now = self._kernel.clock.time()
+        self._cold.mark([backend], left_s, now, reason="answer")
+
+    def record_unreachable(self, backend):
+        """Count a plain ``backend`` that takes no connection as cold once it is back.
+
+        The head of a group comes back as another start, without its group.
+        """
+        cold_s = self._cold_s(backend)
+        if cold_s and backend.membership is None:
+            now = self._kernel.clock.time()
+            left_s = cold_s + RETURN_DOUBT_S
+            self._cold.mark([backend], left_s, now, reason="unreachable")
+
+    def _cold_s(self, backend):
+        configuration = self._configuration.current
+        services = configuration.services_by_name if configuration else {}
+        service = services.get(backend.service)
+        return service.cold_s if service is not None else 0.0
+
     def exclude_zones(self, zones):
-        """Keep requests away from the backend servers of exactly these ``zones``."""
+        """Keep requests away from the backend servers of exactly these ``zones``.
+
+        Servers of a zone that is taken back may be cold.
+        """
+        returned = self.excluded_zones - zones
+        backends_by_cold_s = {}
+        for backend in self.backends_by_id.values():
+            if backend.availability_zone in returned:
+                cold_s = self._cold_s(backend)
+                backends_by_cold_s.setdefault(cold_s, []).append(backend)
+        now = self._kernel.clock.time()
+        for cold_s, backends in backends_by_cold_s.items():
+            self._cold.mark(backends, cold_s, now, reason="zone taken back")
         self.excluded_zones = zones
         self.invalidate()
 
@@ -187,7 +230,9 @@
             self._replace(before, after, self.revision)
 
     def _replace(self, before, after, revision):
-        self._copies.record_gone(before, after, self._kernel.clock.time())
+        now = self._kernel.clock.time()
+        self._copies.record_gone(before, after, now)
+        self._cold.apply_entries(before, after, now)
         self._log_changes(before, after, revision)
         self._update_absences(before, after, revision)
         self.backends_by_id = after
--- a/pimentogap/forwarding/_evidence.py
+++ b/pimentogap/forwarding/_evidence.py
@@ -50,6 +50,8 @@
     def record_wishes(self, backend, load, answer):
         """Record what an answer says of the requests that its server takes."""
         self._permits.record_answer(backend, answer.limit)
+        if answer.cold_left_s:
+            self._directory.record_cold(backend, answer.cold_left_s)
         if answer.leaving:
             self._directory.record_leaving(backend)
         if answer.status != UNAVAILABLE_STATUS or answer.retry_after_s is None:
@@ -106,6 +108,8 @@
                 )
             case NotSent() | Lost() | Stalled() | TimedOut():
                 load.suspect(now)
+                if isinstance(outcome, NotSent):
+                    self._directory.record_unreachable(backend)
                 # Idle connections to it may be dead as well.
                 self._pool.close_idle(backend.address)
                 log.info(
--- a/pimentogap/permits/_book.py
+++ b/pimentogap/permits/_book.py
@@ -1,9 +1,10 @@
 """The permits that a daemon holds for one backend server."""
 
 import asyncio
+import math
+
+from pimentogap.permits._pace import PERMIT_LIFE_S
 
-# A permit that was not used by then has expired.
-PERMIT_LIFE_S = 0.3
 # An owner that failed is not asked again for this long.
 OWNER_COOLDOWN_S = 1.0
 
@@ -27,14 +28,20 @@
         "_shared_at",
     )
 
-    def __init__(self, now):
+    def __init__(self, now, phase):
+        """Hold nothing.
+
+        :param phase: from 0 to 1, the part of the first permit of the daemon's own
+            share that it has already; a different one for each daemon, so that their
+            permits do not come at the same time.
+        """
         self.lock = asyncio.Lock()
         self.waiting = 0
         self.denied_until = 0.0
         self.owner_failed_until = 0.0
         self._held = 0
         self._expires_at = 0.0
-        self._share = 0.0
+        self._share = phase
         self._shared_at = now
 
     def add(self, permits, boot_time):
@@ -44,6 +51,11 @@
         self._held += permits
         self._expires_at = boot_time + PERMIT_LIFE_S
 
+    def put_back(self, boot_time):
+        """Hold a permit again that was taken and not used; it lives no longer."""
+        if boot_time < self._expires_at:
+            self._held += 1
+
     def take(self, boot_time):
         """Take a permit that is held; return whether there was one."""
         if self._held < 1 or boot_time >= self._expires_at:
@@ -51,17 +63,20 @@
         self._held -= 1
         return True
 
-    def take_own_share(self, per_s, now):
+    def take_own_share(self, per_s, now, life_s):
         """Take a permit of this daemon's own share; return the seconds until the next.
 
         An owner that cannot be reached may still give permits to others. The shares of
         all daemons together are no more than the limit.
 
         :param per_s: this daemon's share of the limit, in requests a second.
+        :param life_s: a permit is lost that was due longer ago than this.
         """
-        self._share = min(1.0, self._share + (now - self._shared_at) * per_s)
+        due = self._share + (now - self._shared_at) * per_s
         self._shared_at = now
-        if self._share >= 1.0:
-            self._share -= 1.0
+        if math.isinf(life_s):
+            due = min(1.0, due)
+        self._share = due % 1.0
+        if due >= 1.0 and self._share <= life_s * per_s:
             return 0.0
         return (1.0 - self._share) / per_s
--- a/pimentogap/permits/_bucket.py
+++ b/pimentogap/permits/_bucket.py
@@ -2,8 +2,6 @@
 
 from collections import deque
 
-# Permits that may be saved up, in seconds of the limit.
-BURST_S = 0.3
 # Permits that are given beyond what was asked for, in seconds of the limit, so that
 # large limits do not cost a call for each request.
 PREFETCH_S = 0.1
@@ -21,18 +19,19 @@
 
     __slots__ = ("incarnation", "per_s", "_permits", "_refilled_at", "_calls")
 
-    def __init__(self, limit, now):
-        """Give out permits at the rate of ``limit``, a `BackendLimit`."""
-        self.incarnation = limit.incarnation
-        self.per_s = limit.per_s
+    def __init__(self, pace, now):
+        """Give out permits at the rate of ``pace``, a `Pace`."""
+        self.incarnation = pace.incarnation
+        self.per_s = pace.per_s
         self._permits = 0.0
         self._refilled_at = now
         self._calls = deque()
 
-    def refill(self, per_s, now):
-        """Add the permits since the last call, at the rate that is now ``per_s``."""
+    def refill(self, pace, now):
+        """Add the permits since the last call, at the rate that ``pace`` has now."""
+        per_s = pace.per_s
         added = (now - self._refilled_at) * min(per_s, self.per_s)
-        burst = 1.0 + BURST_S * per_s
+        burst = 1.0 + pace.burst_s * per_s
         self._permits = min(burst, self._permits + max(0.0, added))
         self._refilled_at = max(now, self._refilled_at)
         self.per_s = per_s
@@ -61,15 +60,15 @@
     def __init__(self):
         self._buckets_by_id = {}
 
-    def issue(self, backend_id, limit, wanted, now):
+    def issue(self, backend_id, pace, wanted, now):
         """Return how many permits are given, and when to ask again if none is.
 
-        :param limit: the `BackendLimit` in force.
+        :param pace: the `Pace` in force.
         """
         bucket = self._buckets_by_id.get(backend_id)
-        if bucket is None or bucket.incarnation != limit.incarnation:
-            bucket = self._buckets_by_id[backend_id] = PermitBucket(limit, now)
-        bucket.refill(limit.per_s, now)
+        if bucket is None or bucket.incarnation != pace.incarnation:
+            bucket = self._buckets_by_id[backend_id] = PermitBucket(pace, now)
+        bucket.refill(pace, now)
         taken = bucket.take(wanted)
         return taken, 0.0 if taken else bucket.next_in_s(now)
 
--- a/pimentogap/permits/_service.py
+++ b/pimentogap/permits/_service.py
@@ -8,8 +8,9 @@
 from pimentogap.permits._book import OWNER_COOLDOWN_S, PermitBook
 from pimentogap.permits._bucket import PermitIssuer
 from pimentogap.permits._bulletin import LimitBulletin
-from pimentogap.permits._known import BackendLimit, KnownLimits, read_limit
+from pimentogap.permits._known import KnownLimits, read_limit
 from pimentogap.permits._owners import owner_address
+from pimentogap.permits._pace import ColdBound, decode_pace, named_pace, slower
 from pimentogap.permits._types import Denied, Granted
 
 log = Logger("permits")
@@ -23,7 +24,10 @@
 
 
 class PermitService:
-    """Sends a backend server that names a limit no more requests than it takes.
+    """Sends a backend server that is limited no more requests than it takes.
+
+    A server is limited if it names a limit, or while it is cold and its service has a
+    rate for that.
 
     For each such server one daemon, its owner, gives out permits at the rate of the
     limit, and every other daemon asks it before it sends a request. A daemon that
@@ -32,19 +36,33 @@
     """
 
     name = "permits"
-    requires = ("calls", "daemons", "directory", "lease", "metrics", "relay", "store")
+    requires = (
+        "calls",
+        "daemons",
+        "directory",
+        "lease",
+        "metrics",
+        "relay",
+        "serving_configuration",
+        "store",
+    )
     __slots__ = (
         "_kernel",
         "_daemons",
         "_directory",
+        "_configuration",
+        "_cold_bound",
         "_known",
         "_issuer",
         "_bulletin",
         "_books_by_id",
     )
 
-    def __init__(self):
+    def __init__(self, *, cold_overrun, cold_slack):
+        """Say what a cold server bears beyond its rate, as `ColdBound` has it."""
         self._kernel = None
+        self._configuration = None
+        self._cold_bound = ColdBound(cold_overrun, cold_slack)
         self._daemons = None
         self._directory = None
         self._known = KnownLimits()
@@ -57,6 +75,7 @@
         self._kernel = kernel
         self._daemons = kernel.get("daemons")
         self._directory = kernel.get("directory")
+        self._configuration = kernel.get("serving_configuration")
         self._bulletin = LimitBulletin(kernel, self._apply)
         kernel.get("calls").register(PERMIT_CALL, self._answer_permits)
         for task in (
@@ -70,8 +89,26 @@
         """Do nothing; the kernel ends the tasks."""
 
     def is_limited(self, backend):
-        """Return whether ``backend`` names a limit."""
-        return self._known.per_s(backend) is not None
+        """Return whether ``backend`` takes no more than a limited rate."""
+        return self._pace(backend) is not None
+
+    def _pace(self, backend):
+        """Return the `Pace` of ``backend``, ``None`` if it is not limited."""
+        pace = None
+        named_per_s = self._known.per_s(backend)
+        if named_per_s is not None:
+            pace = named_pace(backend.incarnation, named_per_s)
+        if self._directory.cold_left_s(backend):
+            pace = slower(pace, self._cold_pace(backend))
+        return pace
+
+    def _cold_pace(self, backend):
+        configuration = self._configuration.current
+        services = configuration.services_by_name if configuration else {}
+        service = services.get(backend.service)
+        if service is None or not service.cold_per_s:
+            return None
+        return self._cold_bound.pace(backend.incarnation, service.cold_per_s)
 
     def next_in_s(self, backend):
         """Return the seconds for which it is known that no permit is to be had."""
@@ -97,28 +134,31 @@
     def give_back(self, backend):
         """Return a permit of a request that was not sent after all."""
         if self.is_limited(backend):
-            self._book(backend).add(1, self._kernel.clock.boot_time())
+            self._book(backend).put_back(self._kernel.clock.boot_time())
 
     def _book(self, backend):
         book = self._books_by_id.get(backend.id)
         if book is None:
-            book = PermitBook(self._kernel.clock.time())
+            now = self._kernel.clock.time()
+            book = PermitBook(now, self._kernel.random.random())
             self._books_by_id[backend.id] = book
         return book
 
     async def _acquire_limited(self, backend, book):
         clock = self._kernel.clock
-        per_s = self._known.per_s(backend)
-        if per_s is None or book.take(clock.boot_time()):
+        pace = self._pace(backend)
+        if pace is None or book.take(clock.boot_time()):
             return GRANTED
         now = clock.time()
         if now < book.denied_until:
             return Denied(book.denied_until - now)
         asked_at = clock.boot_time()
-        limit = BackendLimit(backend.incarnation, per_s)
-        answer = await self._ask_owner(backend.id, limit, book)
+        answer = await self._ask_owner(backend.id, pace, book)
         if answer is None:
-            next_in_s = book.take_own_share(per_s / self._daemons.count, clock.time())
+            share_per_s = pace.shared_per_s / self._daemons.count
+            next_in_s = book.take_own_share(
+                share_per_s, clock.time(), pace.share_life_s
+            )
             if next_in_s <= 0:
                 return GRANTED
         else:
@@ -130,22 +170,23 @@
         book.denied_until = clock.time() + next_in_s
         return Denied(next_in_s)
 
-    async def _ask_owner(self, backend_id, limit, book):
+    async def _ask_owner(self, backend_id, pace, book):
         """Return permits and the seconds until the next, or ``None`` without an owner.
 
-        :param limit: the `BackendLimit` of the backend server.
+        :param pace: the `Pace` of the backend server.
         """
         clock = self._kernel.clock
         calls = self._kernel.get("calls")
         address = self._owner(backend_id)
         if address == calls.address:
-            return self._issuer.issue(backend_id, limit, book.waiting, clock.time())
+            return self._issuer.issue(backend_id, pace, book.waiting, clock.time())
         if not address or clock.time() < book.owner_failed_until:
             return None
         body = {
             "backend": backend_id,
-            "incarnation": limit.incarnation,
-            "per_s": limit.per_s,
+            "incarnation": pace.incarnation,
+            "per_s": pace.per_s,
+            "reason": pace.reason,
             "wanted": book.waiting,
         }
         try:
@@ -179,7 +220,7 @@
         """
         try:
             backend_id = str(body["backend"])
-            limit = BackendLimit(int(body["incarnation"]), float(body["per_s"]))
+            pace = decode_pace(body)
             wanted = max(1, int(body["wanted"]))
         except (KeyError, TypeError, ValueError) as error:
             log.warning("call for permits not readable", error=repr(error))
@@ -187,15 +228,23 @@
         if self._owner(backend_id) != self._kernel.get("calls").address:
             return {}
         backend = self._directory.backends_by_id.get(backend_id)
-        known_per_s = self._known.per_s(backend) if backend is not None else None
-        if known_per_s is not None:
-            limit = BackendLimit(backend.incarnation, known_per_s)
-        if not limit.per_s > 0:
-            return {}
+        if backend is not None:
+            pace = self._pace_to_issue(backend, pace)
         now = self._kernel.clock.time()
-        permits, next_in_s = self._issuer.issue(backend_id, limit, wanted, now)
+        permits, next_in_s = self._issuer.issue(backend_id, pace, wanted, now)
         return {"permits": permits, "next_in_s": next_in_s}
 
+    def _pace_to_issue(self, backend, asked):
+        """Return the `Pace` of ``backend``, of which a daemon has ``asked`` another.
+
+        That daemon may not know yet of the limit that is in force, or know better that
+        the server is cold.
+        """
+        known = self._pace(backend)
+        if known is None or asked.reason == "cold":
+            return slower(known, asked)
+        return known
+
     def record_answer(self, backend, limit):
         """Record what an answer of ``backend`` says of its limit.
 
--- a/pimentogap/platform/_backends.py
+++ b/pimentogap/platform/_backends.py
@@ -46,10 +46,16 @@
         models=_names(data.get("models")),
         staged=_names(data.get("staged")),
         membership=membership,
-        cold_left_s=max(0, _int_or_default(data.get("coldLeftMs"), 0)) / MS_PER_S,
+        cold_left_s=_cold_left_s(data.get("coldLeftMs")),
     )
 
 
+def _cold_left_s(value):
+    """Return the seconds of ``coldLeftMs``; 0 if it is missing or no number."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return value / MS_PER_S if is_number and 0 < value <= MAX_INT else 0.0
+
+
 def _membership(data):
     """Return the `Membership`, ``None`` if there is none, ``False`` if invalid."""
     if not data:
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -139,7 +139,9 @@
         SettlingService(),
         RelayService(first_start=settings.first_start),
         PauseService(tuple(current_collections)),
-        PermitService(),
+        PermitService(
+            cold_overrun=settings.cold_overrun, cold_slack=settings.cold_slack
+        ),
         PlacementService(),
         QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
--- a/standins/emulator/_documents.py
+++ b/standins/emulator/_documents.py
@@ -38,19 +38,27 @@
 }
 
 
-def configuration_document(version, *, routes=None, keys=(KEY,), services=None):
+def configuration_document(
+    version, *, routes=None, keys=(KEY,), services=None, model_service=None
+):
     """Return a complete configuration, as the operator writes it.
 
     :param routes: the routes, by default those of `default_routes`.
     :param keys: the API keys of the only workspace.
     :param services: the services, by default a model service and a plain one.
+    :param model_service: further fields of that model service.
     """
     return {
         "version": version,
         "routes": default_routes() if routes is None else routes,
         "services": services
         or [
-            {"name": MODEL_SERVICE, "maxConns": 400, "engine": ENGINE},
+            {
+                "name": MODEL_SERVICE,
+                "maxConns": 400,
+                "engine": ENGINE,
+                **(model_service or {}),
+            },
             {"name": PLAIN_SERVICE, "maxConns": 100},
         ],
         "limits": {
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -126,14 +126,17 @@
         "_seed",
         "_request_count",
         "bounds",
+        "distinct_seeds",
     )
 
-    def __init__(self, *, seed=0, bounds=None):
+    def __init__(self, *, seed=0, bounds=None, distinct_seeds=False):
         """Create an empty fleet.
 
         :param bounds: figures that the settings of daemons name besides the usual ones.
+        :param distinct_seeds: whether each daemon makes other random choices.
         """
         self.bounds = bounds or {}
+        self.distinct_seeds = distinct_seeds
         self.network = EmulatedNetwork()
         self.store = ObjectStore(seed=seed)
         self.records = Records()
@@ -147,14 +150,18 @@
         self._request_count = 0
         self.network.handlers_by_address[STORE_ADDRESS] = self.store
 
-    async def start(self, *, daemons=3, domains=2, domain_size=8, plain=3):
+    async def start(
+        self, *, daemons=3, domains=2, domain_size=8, plain=3, model_service=None
+    ):
         """Write the first configuration and start the replicas and daemons.
 
         :param domains: number of fabric domains.
         :param domain_size: number of model replicas in each fabric domain.
         :param plain: number of replicas of the plain service.
+        :param model_service: further fields of the model service's configuration.
         """
-        self.store.put("config", "main", configuration_document(1))
+        document = configuration_document(1, model_service=model_service)
+        self.store.put("config", "main", document)
         for domain in range(domains):
             for index in range(domain_size):
                 self.add_replica(f"d{domain}", index)
@@ -217,7 +224,7 @@
                 self.frozen_addresses,
             ),
             clock=Clock(boot_time=asyncio.get_running_loop().time),
-            seed=self._seed,
+            seed=f"{name}-{self._seed}" if self.distinct_seeds else self._seed,
         )
         self.kernels_by_name[name] = kernel
         await kernel.start()
--- a/standins/emulator/_records.py
+++ b/standins/emulator/_records.py
@@ -47,7 +47,8 @@
     so far. ``arrivals`` has an `Arrival` for each request that a replica took,
     ``crashes`` a `Crash` for each replica that a deadly part ended.
     ``leaving_answers`` has the attempt and the replica of each answer that says that
-    its replica leaves.
+    its replica leaves. ``cold_crashes`` has the replica and the time of each crash of a
+    cold replica that got too many requests.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "arrivals",
         "crashes",
         "leaving_answers",
+        "cold_crashes",
     )
 
     def __init__(self):
@@ -76,6 +78,7 @@
         self.arrivals = []
         self.crashes = []
         self.leaving_answers = []
+        self.cold_crashes = []
 
     def runs_of(self, attempt_id):
         """Return the runs of one attempt of a caller."""
--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 
 from standins._network import AbandonConnection, split_path
@@ -15,6 +16,7 @@
 # Longer than any client waits for an answer.
 SILENCE_S = 3600.0
 CRASHED_FOR_S = 3.0
+HEARTBEAT_S = 1.2
 
 
 class Place:
@@ -44,7 +46,8 @@
     one of the ``deadly_parts`` in its prompt crashes the replica when it begins to run;
     while ``is_down``, until the replica is back, nothing listens on its address.
     ``limit_text`` is what its answers name as the requests a second that it takes;
-    while ``says_leaving`` is set, they say that it leaves.
+    while ``says_leaving`` is set, they say that it leaves. Until ``cold_until`` it
+    crashes if more than ``cold_bound`` requests arrive within a second.
     """
 
     __slots__ = (
@@ -68,6 +71,9 @@
         "limit_text",
         "says_leaving",
         "is_down",
+        "cold_until",
+        "cold_bound",
+        "_cold_arrivals",
         "running",
         "slots",
         "_store",
@@ -118,6 +124,9 @@
         self.limit_text = None
         self.says_leaving = False
         self.is_down = False
+        self.cold_until = -math.inf
+        self.cold_bound = math.inf
+        self._cold_arrivals = []
         self.slots = engine["slots"]
         self.staged = []
         self._store = store
@@ -187,6 +196,35 @@
         if not self.cut_from_store and not self.is_silent and not self.is_down:
             self._store.put("servers", self.id, self.entry())
 
+    def become_cold(self, seconds, bound):
+        """Be cold for ``seconds``, in which no second may have over ``bound`` requests.
+
+        The entry says so now, and again with each heartbeat.
+        """
+        now = asyncio.get_running_loop().time()
+        self.cold_until, self.cold_bound = now + seconds, bound
+        self._cold_arrivals.clear()
+        self._start_task(self._publish_while_cold())
+
+    async def _publish_while_cold(self):
+        while self._cold_left_ms():
+            self.publish()
+            await asyncio.sleep(HEARTBEAT_S)
+        self.publish()
+
+    def _cold_left_ms(self):
+        left_s = self.cold_until - asyncio.get_running_loop().time()
+        return round(1000 * max(0.0, left_s))
+
+    def record_arrival(self):
+        """Count a request; return whether it is too much for a cold replica."""
+        now = asyncio.get_running_loop().time()
+        if now >= self.cold_until:
+            return False
+        recent = [at for at in self._cold_arrivals if at > now - 1.0]
+        self._cold_arrivals = [*recent, now]
+        return len(self._cold_arrivals) > self.cold_bound
+
     def entry(self):
         """Return the replica's entry in the platform's list of servers."""
         entry = {
@@ -196,7 +234,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldLeftMs": 0,
+            "coldLeftMs": self._cold_left_ms(),
             "born": self.born,
             "domain": self.domain,
             "staged": list(self.staged),
--- a/standins/emulator/_serving.py
+++ b/standins/emulator/_serving.py
@@ -49,6 +49,10 @@
         replica.records.arrivals.append(
             Arrival(attempt_id, replica.id, parts, arrived_at)
         )
+        if replica.record_arrival():
+            replica.records.cold_crashes.append((replica.id, arrived_at))
+            replica.crash()
+            raise AbandonConnection
         await self._simulate_work(place, int(prompt) / replica.engine["read_per_s"])
         self._crash_if_deadly(parts)
         self._record_if_incomplete(place)
