--- a/features/steps/era_steps.py
+++ b/features/steps/era_steps.py
@@ -205,6 +205,10 @@
 
 @then('every daemon knows the part "{part}" and the limit of {limit:g}')
 def then_daemons_know(context, part, limit):
+    context.simulation.call_in_loop(lambda: _check_all_know(context, part))
+
+
+def _check_all_know(context, part):
     for name, kernel in context.simulation.fleet.kernels_by_name.items():
         assert part in kernel.get("quarantine").blocked_keys(), name
         backend = kernel.get("directory").backends_by_id[context.limited_id]
