--- a/features/platform/cold_servers.feature
+++ b/features/platform/cold_servers.feature
@@ -20,6 +20,7 @@
       | 74      | a tenth of the daemons hears nothing       | 0.95  |
       | 6       | the store is silent                        | 0.95  |
       | 74      | daemons are started again                  | 0.95  |
+      | 6       | more daemons are started                   | 0.95  |
 
   Scenario Outline: Servers that become cold without notice get no more than they bear (FAILBACK)
     Given a platform whose cold servers bear 5 requests a second, with <daemons> daemons
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -176,6 +176,17 @@
     context.simulation.start_task(restart)
 
 
+def _start_more(context):
+    fleet = context.simulation.fleet
+
+    async def start():
+        for index in range(6):
+            await asyncio.sleep(0.3)
+            await fleet.start_daemon(f"more-{index}", first_start=False)
+
+    context.simulation.start_task(start)
+
+
 TROUBLES_BY_NAME = {
     "nothing else happens": lambda context: None,
     "half of the daemons are killed": _kill_half,
@@ -184,6 +195,7 @@
     "a tenth of the daemons hears nothing": _deafen_some,
     "the store is silent": _silence_store,
     "daemons are started again": _restart_some,
+    "more daemons are started": _start_more,
 }
 
 
--- a/pimentogap/permits/_service.py
+++ b/pimentogap/permits/_service.py
@@ -9,7 +9,7 @@
 from pimentogap.permits._bucket import PermitIssuer
 from pimentogap.permits._bulletin import LimitBulletin
 from pimentogap.permits._known import KnownLimits, read_limit
-from pimentogap.permits._owners import owner_address
+from pimentogap.permits._owners import OwnerLists, owner_address
 from pimentogap.permits._pace import ColdBound, decode_pace, named_pace, slower
 from pimentogap.permits._types import Denied, Granted
 
@@ -55,6 +55,7 @@
         "_known",
         "_issuer",
         "_bulletin",
+        "_owner_lists",
         "_books_by_id",
     )
 
@@ -68,6 +69,7 @@
         self._known = KnownLimits()
         self._issuer = PermitIssuer()
         self._bulletin = None
+        self._owner_lists = OwnerLists()
         self._books_by_id = {}
 
     async def start(self, kernel):
@@ -121,15 +123,20 @@
 
     async def acquire(self, backend):
         """Return `Granted` or `Denied` for a request that is to be sent now."""
-        if not self.is_limited(backend):
+        pace = self._pace(backend)
+        if pace is None:
             return GRANTED
         book = self._book(backend)
         book.waiting += 1
         try:
             async with book.lock:
-                return await self._acquire_limited(backend, book)
+                verdict = await self._acquire_limited(backend, book)
         finally:
             book.waiting -= 1
+        outcome = "granted" if verdict is GRANTED else "denied"
+        series = Series("permits", backend.service, "-", f"{pace.reason}_{outcome}")
+        self._kernel.get("metrics").count(series)
+        return verdict
 
     def give_back(self, backend):
         """Return a permit of a request that was not sent after all."""
@@ -179,7 +186,7 @@
         calls = self._kernel.get("calls")
         address = self._owner(backend_id)
         if address == calls.address:
-            return self._issuer.issue(backend_id, pace, book.waiting, clock.time())
+            return self._issue(backend_id, pace, book.waiting)
         if not address or clock.time() < book.owner_failed_until:
             return None
         body = {
@@ -213,6 +220,21 @@
     def _owner(self, backend_id):
         return owner_address(backend_id, self._daemons.addresses_by_id.values())
 
+    def _issue(self, backend_id, pace, wanted):
+        """Return permits and the seconds until the next, as their owner.
+
+        :return: ``None`` while another daemon may give out permits as well for a server
+            that is cold.
+        """
+        now = self._kernel.clock.time()
+        own_address = self._kernel.get("calls").address
+        self._owner_lists.update(self._daemons.addresses_by_id.values(), now)
+        if pace.reason == "cold" and not self._owner_lists.is_settled(
+            backend_id, own_address, now
+        ):
+            return None
+        return self._issuer.issue(backend_id, pace, wanted, now)
+
     async def _answer_permits(self, body):
         """Give out permits; nothing if another daemon owns the backend server.
 
@@ -230,8 +252,10 @@
         backend = self._directory.backends_by_id.get(backend_id)
         if backend is not None:
             pace = self._pace_to_issue(backend, pace)
-        now = self._kernel.clock.time()
-        permits, next_in_s = self._issuer.issue(backend_id, pace, wanted, now)
+        issued = self._issue(backend_id, pace, wanted)
+        if issued is None:
+            return {}
+        permits, next_in_s = issued
         return {"permits": permits, "next_in_s": next_in_s}
 
     def _pace_to_issue(self, backend, asked):
