--- a/soak/_daemons.py
+++ b/soak/_daemons.py
@@ -40,12 +40,15 @@
         "_paused",
     )
 
-    def __init__(self, name, ip, folder, *, zone, first_port, store, code=ROOT):
+    def __init__(
+        self, name, ip, folder, *, zone, first_port, store, code=ROOT, limits=None
+    ):
         """Prepare the settings; ``folder`` gets their file and the daemon's log.
 
         :param first_port: the port for callers; the next one is for readiness checks.
         :param store: the ``host:port`` at which the daemon reaches the store.
         :param code: the folder of the checkout that the daemon runs.
+        :param limits: the limits of the daemon's VM, by default those of the document.
         """
         self.name = name
         self.ip = ip
@@ -62,6 +65,7 @@
         self._document = settings_document(
             name, zone=zone, ip=ip, first_port=first_port, store=store
         )
+        self._document["limits"].update(limits or {})
 
     def start(self):
         """Start the process and append its output to the daemon's log file.
--- a/standins/emulator/_documents.py
+++ b/standins/emulator/_documents.py
@@ -38,7 +38,9 @@
 }
 
 
-def configuration_document(version, *, routes=None, keys=(KEY,), services=None):
+def configuration_document(
+    version, *, routes=None, keys=(KEY,), services=None, max_body_bytes=65536
+):
     """Return a complete configuration, as the operator writes it.
 
     :param routes: the routes, by default those of `default_routes`.
@@ -55,7 +57,7 @@
         ],
         "limits": {
             "maxHeaderBytes": 16384,
-            "maxBodyBytes": 65536,
+            "maxBodyBytes": max_body_bytes,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
--- a/standins/emulator/_plain.py
+++ b/standins/emulator/_plain.py
@@ -18,9 +18,10 @@
     ``error_share`` and ``refusal_share`` are shares of the requests, from 0 to 1: run
     without an answer, run and answered with status 500, and refused with status 503
     without being run.
-    ``work_s`` is the time that one request takes. While ``says_leaving`` is set, its
-    answers say that it leaves. With ``quiet_text`` it turns each request away and asks
-    for that many seconds of quiet; ``turned_away`` has the source and time of each.
+    ``work_s`` is the time that one request takes, ``answer_bytes`` the least size of
+    its answer. While ``says_leaving`` is set, its answers say that it leaves. With
+    ``quiet_text`` it turns each request away and asks for that many seconds of quiet;
+    ``turned_away`` has the source and time of each.
     While ``is_down`` is set, the process has exited; ``born`` counts its starts. A
     replica with ``cut_from_store`` has left without a report.
     """
@@ -35,6 +36,7 @@
         "error_share",
         "refusal_share",
         "work_s",
+        "answer_bytes",
         "says_leaving",
         "quiet_text",
         "turned_away",
@@ -56,6 +58,7 @@
         self.error_share = 0.0
         self.refusal_share = 0.0
         self.work_s = WORK_S
+        self.answer_bytes = 0
         self.says_leaving = False
         self.quiet_text = None
         self.turned_away = []
@@ -136,7 +139,7 @@
         if self._random.random() < self.lose_answer_share:
             raise AbandonConnection
         failed = self._random.random() < self.error_share
-        body = f"answer to {attempt_id}".encode()
+        body = f"answer to {attempt_id}".encode().ljust(self.answer_bytes, b".")
         answer = {
             "Content-Length": str(len(body)),
             "X-Pimentogap-Attempt-Id": attempt_id,
