Keep a front daemon within its VM whatever callers send

Callers saw: a crowd of bodies that stop short, or of chunks over the limit, took 360 to 399 MB where 160 are allowed; 600 silent connections took 613 sockets of 300; a refusal of a body far over the limit was lost to a reset (3 of 3 tries). Cause: nothing bounded what all connections hold together, and tornado closes with unread bytes after a refusal.

The service intake keeps one account of bodies, connections and unsent answers. Bodies reserve their memory before they are read, wait for room for a second, and are then refused as not run; who makes no progress gives way first, small bodies keep a part, the only large body always fits. Connections without a request make room for new ones. Bodies in tiny chunks take turns. Bodies are not copied any more.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -9,6 +9,9 @@
       | what                            | status |
       | headers that are too large      | 431    |
       | a body that is too large        | 413    |
+      | a body far over the limit       | 413    |
+      | chunks far over the limit       | 413    |
+      | a chunk far over the limit      | 413    |
       | a length of superscript digits  | 400    |
       | a length of 30 digits           | 413    |
       | two different lengths           | 400    |
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -8,6 +8,7 @@
 
 from features.steps.connection_steps import AnswerReceiver
 from pimentogap.ingress import IngressService
+from pimentogap.intake import IntakeService
 from pimentogap.kernel import Kernel
 from pimentogap.metrics import MetricService
 from pimentogap.platform import PlatformHeaders
@@ -21,6 +22,15 @@
 REQUESTS_BY_NAME = {
     "headers that are too large": HEAD + "Big: " + "x" * 3000 + "\r\n\r\n",
     "a body that is too large": HEAD + "Content-Length: 2000\r\n\r\n" + "x" * 2000,
+    "a body far over the limit": HEAD
+    + "Content-Length: 3000000\r\n\r\n"
+    + "x" * 3_000_000,
+    "chunks far over the limit": HEAD
+    + "Transfer-Encoding: chunked\r\n\r\n"
+    + ("800\r\n" + "x" * 2048 + "\r\n") * 1500,
+    "a chunk far over the limit": HEAD
+    + "Transfer-Encoding: chunked\r\n\r\n40000000\r\n"
+    + "x" * 3_000_000,
     "a length of 30 digits": HEAD + f"Content-Length: {'9' * 30}\r\n\r\nx",
     "two different lengths": HEAD + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
     "a length and chunks": HEAD
@@ -113,6 +123,7 @@
             Stub("directory"),
             Stub("quarantine"),
             MetricService(),
+            IntakeService(self.settings),
             self.ingress,
         ):
             self.kernel.register(service)
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -12,11 +12,17 @@
 from tornado.iostream import StreamClosedError
 
 from pimentogap.forwarding import CallerRequest
-from pimentogap.types import is_above
+from pimentogap.ingress._refusals import LINGER_BYTES, send_refusal
+from pimentogap.intake import RETRY_AFTER_S, NoRoom
+from pimentogap.types import decimal_or_none, is_above
 
 log = Logger("ingress")
 
 MAX_LOGGED_PATH_CHARS = 80
+# A body without a length reserves its memory in steps of this size.
+STEP_BYTES = 64 * 1024
+UNAVAILABLE_STATUS = 503
+TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
 HEADERS_TOO_LARGE_STATUS = 431
 BAD_REQUEST_STATUS = 400
@@ -25,15 +31,24 @@
 class CallerResponse:
     """Writes the answer to one request of a caller."""
 
-    __slots__ = ("begun", "ended", "_connection", "stream", "_closes_connection")
+    __slots__ = (
+        "begun",
+        "ended",
+        "_connection",
+        "stream",
+        "_closes_connection",
+        "_intake",
+    )
 
-    def __init__(self, connection, stream, closes_connection):
+    def __init__(self, connection, stream, closes_connection, intake):
         """Prepare to answer on ``connection``.
 
-        :param stream: the `IOStream` below ``connection``.
+        :param stream: the `CallerStream` below ``connection``.
         :param closes_connection: callable that returns whether the connection
             closes after the answer.
+        :param intake: counts what the caller does not take.
         """
+        self._intake = intake
         self.begun = False
         self.ended = False
         self._connection = connection
@@ -59,14 +74,24 @@
     def send(self, chunk):
         """Write ``chunk`` without waiting until it is written to the socket."""
         if chunk:
-            _ignore_error(self._connection.write(chunk))
+            _ignore_error(self._write(chunk))
 
     async def write(self, chunk):
         """Write ``chunk`` and wait until it is written to the socket.
 
         :raises StreamClosedError: if the caller has closed the connection.
         """
-        await self._connection.write(chunk)
+        await self._write(chunk)
+
+    def _write(self, chunk):
+        written = self._connection.write(chunk)
+        if not written.done():
+            caller, size = self.stream.caller, len(chunk)
+            self._intake.add_unsent(caller, size)
+            written.add_done_callback(
+                lambda done: self._intake.remove_unsent(caller, size)
+            )
+        return written
 
     def finish(self):
         """End a complete answer."""
@@ -92,7 +117,8 @@
         "_body",
         "_task",
         "_response",
-        "_refused",
+        "refused",
+        "_dropped_bytes",
     )
 
     def __init__(self, service, connection, stream):
@@ -105,8 +131,11 @@
         self._headers = None
         self._body = bytearray()
         self._task = None
-        self._refused = False
-        self._response = CallerResponse(connection, stream, self._should_close)
+        self.refused = False
+        self._dropped_bytes = 0
+        self._response = CallerResponse(
+            connection, stream, self._should_close, service.intake
+        )
 
     def headers_received(self, start_line, headers):
         """Check the request line and headers against the current limits."""
@@ -117,23 +146,68 @@
         declared = headers.get("Content-Length", "0")
         self._path = _decode_path(start_line.path)
         if not self._path.startswith("/") or "Host" not in headers:
-            self._refuse(BAD_REQUEST_STATUS)
+            self._refuse_at_head(BAD_REQUEST_STATUS, "malformed")
         elif _header_bytes(start_line, headers) > limits.max_header_bytes:
-            self._refuse(HEADERS_TOO_LARGE_STATUS)
+            self._refuse_at_head(HEADERS_TOO_LARGE_STATUS, "head too large")
         elif is_above(declared, limits.max_body_bytes):
-            self._refuse(TOO_LARGE_STATUS)
+            self._refuse_at_head(TOO_LARGE_STATUS, "body too large")
+        elif "Transfer-Encoding" in headers:
+            self.stream.begin_chunks()
+            self._service.intake.begin_body(self.stream.caller, self._turn_away)
+        elif size := int(decimal_or_none(declared) or 0):
+            return self._admit_body(size)
+        return None
+
+    def _admit_body(self, size):
+        """Reserve the whole body; return an awaitable if it has to wait for that."""
+        intake, caller = self._service.intake, self.stream.caller
+        intake.begin_body(caller, self._turn_away)
+        if intake.try_reserve(caller, size):
+            return None
+        return self._wait_for_room(size)
+
+    async def _wait_for_room(self, size):
+        try:
+            await self._service.intake.reserve(self.stream.caller, size)
+        except NoRoom:
+            self._refuse_at_head(UNAVAILABLE_STATUS, "no room")
 
     def data_received(self, chunk):
-        """Append a chunk of the body and check its size against the limit."""
-        if self._refused:
+        """Append a chunk of the body, once there is room for it."""
+        if self.refused:
+            self._drop(chunk)
+            return None
+        size = len(self._body) + len(chunk)
+        if size > self._service.limits().max_body_bytes:
+            self._refuse(TOO_LARGE_STATUS, "body too large")
+            return None
+        caller = self.stream.caller
+        if size > caller.held:
+            step = max(STEP_BYTES, size - caller.held)
+            if not self._service.intake.try_reserve(caller, step):
+                return self._append_later(chunk, step)
+        self._body += chunk
+        return None
+
+    async def _append_later(self, chunk, step):
+        try:
+            await self._service.intake.reserve(self.stream.caller, step)
+        except NoRoom:
+            if not self.refused:
+                self._refuse(UNAVAILABLE_STATUS, "no room")
             return
         self._body += chunk
-        if len(self._body) > self._service.limits().max_body_bytes:
-            self._refuse(TOO_LARGE_STATUS)
+
+    def _drop(self, chunk):
+        self._dropped_bytes += len(chunk)
+        if self._dropped_bytes > LINGER_BYTES:
+            self.stream.close()
 
     def finish(self):
         """Start the task that answers the request, once it is complete."""
-        if self._refused:
+        self.stream.end_chunks()
+        if self.refused:
+            self._connection.detach()
             return
         if self.stream.closed():
             # The caller left after sending; a request without a caller must not run.
@@ -142,6 +216,7 @@
                 id=self._service.codec.decode_attempt_id(self._headers),
             )
             return
+        self._service.intake.begin_service(self.stream.caller)
         self._task = asyncio.ensure_future(self._answer())
 
     def on_connection_close(self):
@@ -168,6 +243,9 @@
         except Exception:
             log.exception("request failed", id=attempt_id)
             self._response.abort()
+        finally:
+            self._body = None
+            self._service.intake.release(self.stream.caller)
 
     def _request(self):
         headers = self._headers
@@ -176,7 +254,7 @@
             path=self._path,
             host=headers["Host"],
             headers=self._service.codec.forwarded_headers(headers),
-            body=bytes(self._body),
+            body=self._body,
             needs=self._service.codec.needs(headers),
             received_at=self._service.now(),
         )
@@ -188,12 +266,30 @@
         self.close_after = self.close_after or self._service.closing
         return self.close_after
 
-    def _refuse(self, status):
-        self._refused = True
+    def _turn_away(self, error):
+        """Refuse the request while its body is read, since ``error`` applies to it."""
+        if not self.refused:
+            timed_out = issubclass(error, TimeoutError)
+            self._refuse(TIMEOUT_STATUS if timed_out else UNAVAILABLE_STATUS)
+
+    def _refuse_at_head(self, status, cause):
+        """Refuse before anything of the body is read; the service lingers."""
+        self._refuse(status, cause)
+        self._connection.detach()
+
+    def _refuse(self, status, cause=None):
+        """Answer with a refusal; what still comes of the request is dropped."""
+        self.refused = True
         self.close_after = True
-        log.info("request refused by limits", status=status)
-        self._response.begin(status, [("Content-Length", "0")])
-        self._response.finish()
+        self._body = bytearray()
+        if cause is not None:
+            self._service.intake.count(cause)
+        self._service.intake.begin_leaving(self.stream.caller)
+        headers = self._service.codec.refusal_headers(
+            self._service.codec.decode_attempt_id(self._headers),
+            retry_after_s=RETRY_AFTER_S if status == UNAVAILABLE_STATUS else 0.0,
+        )
+        send_refusal(self.stream, status, headers)
 
 
 def _decode_path(path):
--- a/pimentogap/ingress/_service.py
+++ b/pimentogap/ingress/_service.py
@@ -1,15 +1,17 @@
 """Listens for callers, readiness checks of the platform and scrapes of metrics."""
 
+import asyncio
+
 from logbook import Logger
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
-from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
+from tornado.netutil import add_accept_handler, bind_sockets
 from tornado.web import Application, RequestHandler
 
 from pimentogap.ingress._exchange import Exchange
-from pimentogap.types import CallerLimits
+from pimentogap.ingress._refusals import linger
+from pimentogap.ingress._stream import CallerStream
 
 log = Logger("ingress")
 
@@ -23,7 +25,14 @@
 # The part of the grace period that is left for the process to exit.
 EXIT_MARGIN_S = 0.7
 DRAIN_CHECK_INTERVAL_S = 0.1
-MAX_HEADER_BYTES = 65536
+# Heads of up to twice the configured size are read, so that they can be refused.
+HEADER_READ_FACTOR = 2
+# Bodies are bounded by the configuration, as they are read.
+UNBOUNDED_BYTES = 2**62
+# The platform's checks and scrapes need few connections.
+MAX_SIDE_CONNECTIONS = 64
+SIDE_TIMEOUT_S = 5.0
+SIDE_MAX_BYTES = 16384
 
 
 class ReadinessHandler(RequestHandler):
@@ -55,18 +64,76 @@
         self.write(self.metrics.text())
 
 
-class CallerServer(TCPServer):
+class SideServer(HTTPServer):
+    """Serves one handler on few connections; more are closed when they come."""
+
+    __slots__ = ()
+
+    def initialize(self, handler):
+        """Serve ``handler``, a pattern, its class and its arguments."""
+        super().initialize(
+            Application([handler], log_function=lambda handler: None),
+            idle_connection_timeout=SIDE_TIMEOUT_S,
+            body_timeout=SIDE_TIMEOUT_S,
+            max_header_size=SIDE_MAX_BYTES,
+            max_body_size=SIDE_MAX_BYTES,
+            max_buffer_size=4 * SIDE_MAX_BYTES,
+            chunk_size=SIDE_MAX_BYTES,
+        )
+        self.open_connections = 0
+
+    def handle_stream(self, stream, address):
+        """Serve a connection unless there are too many."""
+        if self.open_connections >= MAX_SIDE_CONNECTIONS:
+            stream.close()
+            return
+        self.open_connections += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn):
+        """Note the end of a connection."""
+        self.open_connections -= 1
+        super().on_close(server_conn)
+
+
+class CallerServer:
     """Accepts callers' connections and serves each in a task of its own."""
 
-    __slots__ = ("_ingress",)
+    __slots__ = ("_ingress", "_sockets", "_removers", "_tasks")
 
     def __init__(self, ingress):
-        super().__init__()
         self._ingress = ingress
+        self._sockets = []
+        self._removers = []
+        self._tasks = set()
+
+    def add_sockets(self, sockets):
+        """Accept connections on ``sockets``."""
+        self._sockets += sockets
+        self._removers += [add_accept_handler(s, self._accept) for s in sockets]
+
+    def stop(self):
+        """Accept no more connections."""
+        for remove in self._removers:
+            remove()
+        for listening in self._sockets:
+            listening.close()
+        self._removers, self._sockets = [], []
+
+    def _accept(self, connection, address):
+        stream = CallerStream(connection, self._ingress.intake)
+        stream.caller = self._ingress.intake.admit(address[0], stream.close)
+        if stream.caller is None:
+            stream.close()
+            return
+        task = asyncio.ensure_future(self._ingress.serve_connection(stream))
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
 
-    async def handle_stream(self, stream, address):
-        """Serve one connection until it ends."""
-        await self._ingress.serve_connection(stream)
+    def _end_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("connection failed", error=repr(task.exception()))
 
 
 class IngressService:
@@ -75,6 +142,7 @@
     name = "ingress"
     requires = (
         "forwarding",
+        "intake",
         "serving_configuration",
         "directory",
         "quarantine",
@@ -83,6 +151,7 @@
     __slots__ = (
         "codec",
         "forwarding",
+        "intake",
         "closing",
         "_settings",
         "_configuration",
@@ -105,6 +174,7 @@
         """
         self.codec = codec
         self.forwarding = None
+        self.intake = None
         self.closing = False
         self._settings = settings
         self._configuration = None
@@ -122,6 +192,7 @@
         """Open the listening sockets."""
         self._kernel = kernel
         self.forwarding = kernel.get("forwarding")
+        self.intake = kernel.get("intake")
         self._configuration = kernel.get("serving_configuration")
         self._directory = kernel.get("directory")
         self._quarantine = kernel.get("quarantine")
@@ -185,9 +256,8 @@
         return ready
 
     def limits(self):
-        """Return the configured `CallerLimits`, or the defaults if there are none."""
-        configuration = self._configuration.current
-        return configuration.limits if configuration else CallerLimits()
+        """Return the current `CallerLimits`."""
+        return self.intake.caller_limits()
 
     def add_exchange(self, exchange):
         """Register a request whose headers have been received."""
@@ -209,6 +279,7 @@
         finally:
             self._open_streams.discard(stream)
             stream.close()
+            self.intake.leave(stream.caller)
 
     async def _serve_request(self, stream):
         """Answer one request; return whether the connection stays open for another."""
@@ -217,9 +288,8 @@
             stream,
             False,
             HTTP1ConnectionParameters(
-                header_timeout=limits.idle_timeout_s,
-                max_header_size=MAX_HEADER_BYTES,
-                max_body_size=max(limits.max_body_bytes, 1) * 2,
+                max_header_size=limits.max_header_bytes * HEADER_READ_FACTOR,
+                max_body_size=UNBOUNDED_BYTES,
             ),
         )
         exchange = Exchange(self, connection, stream)
@@ -227,9 +297,14 @@
         self._open_streams.add(stream)
         try:
             keep_alive = await connection.read_response(exchange)
+            if exchange.refused:
+                await linger(stream)
         finally:
             exchange.end()
-        return keep_alive and not exchange.close_after
+        if not keep_alive or exchange.close_after:
+            return False
+        self.intake.begin_idle(stream.caller)
+        return True
 
     def _close_idle_streams(self):
         busy_streams = {exchange.stream for exchange in self._exchanges}
@@ -239,7 +314,7 @@
 
 
 def _serve(address, handler):
-    server = HTTPServer(Application([handler], log_function=lambda handler: None))
+    server = SideServer(handler)
     server.add_sockets(_bind(address))
     return server
 
--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -165,6 +165,7 @@
     return CallerLimits(
         max_header_bytes=int(item.get("maxHeaderBytes") or 16384),
         max_body_bytes=int(item.get("maxBodyBytes") or 4 * 2**20),
+        header_timeout_s=(item.get("headerTimeoutMs") or 15000) / MS_PER_S,
         idle_timeout_s=(item.get("idleTimeoutMs") or 15000) / MS_PER_S,
     )
 
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -21,6 +21,7 @@
 from pimentogap.formation import FormationService, LeaseService
 from pimentogap.forwarding import ForwardingService
 from pimentogap.ingress import IngressService
+from pimentogap.intake import IntakeService
 from pimentogap.kernel import Kernel
 from pimentogap.logs import install_decision_log
 from pimentogap.metrics import LoopHolds, MetricService, measured_event_loop
@@ -161,6 +162,7 @@
         peer_transport=GrpcTransport(settings.id, settings.store_address),
         loop_holds=loop_holds,
     )
+    kernel.register(IntakeService(settings))
     kernel.register(IngressService(settings, codec))
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -128,10 +128,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerLimits:
-    """Limits on a caller's request and on how long its connection may be idle."""
+    """Limits on a caller's request, its head's duration and idle connections."""
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 * 2**20
+    header_timeout_s: float = 15.0
     idle_timeout_s: float = 15.0
 
 
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -21,6 +21,8 @@
 
 MAX_HEADER_BYTES = 65536
 MAX_BODY_BYTES = 2**40
+# A body of up to this size is written together with its head.
+MAX_JOINED_BYTES = 16 * 1024
 MAX_IDLE_PER_BACKEND = 24
 # Bounds the ids that are remembered for a connection.
 MAX_ATTEMPTS_PER_CONNECTION = 100
@@ -220,8 +222,7 @@
         has_strays = False
         try:
             # Not awaited: an answer may come before the whole body is sent.
-            connection.write_headers(line, fields, body or None)
-            connection.finish()
+            _write_request(connection, line, fields, body)
             await connection.read_response(delegate)
             for _ in range(MAX_STRAY_ANSWERS):
                 if delegate.owned or not delegate.finished:
@@ -296,6 +297,16 @@
     return stream.is_quiet()
 
 
+def _write_request(connection, line, fields, body):
+    """Write a request; a large body is not copied for that."""
+    if len(body) <= MAX_JOINED_BYTES:
+        connection.write_headers(line, fields, bytes(body) or None)
+    else:
+        connection.write_headers(line, fields)
+        connection.write(body)
+    connection.finish()
+
+
 def _fields(method, headers, body):
     fields = HTTPHeaders()
     for name, value in headers:
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Chunked:
-    """A body in chunks of ``chunk`` bytes without an end, of which ``sent`` are sent."""
+    """A chunked body without an end, ``sent`` bytes in chunks of ``chunk`` bytes."""
 
     chunk: int
     sent: int
