Give the crowds' daemon an address of its own, and end it if it does not start

A run beside other tests failed once at the start of a daemon, and the scenarios after it found its stand-ins' ports taken. The daemon's log was not kept; daemons of other tests on 127.0.0.1 serve metrics on the same port. The log's end is shown now.

--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -31,7 +31,8 @@
 )
 from standins.emulator._documents import route
 
-IP = "127.0.0.1"
+# Not that of other tests, whose daemons serve metrics on the same port.
+IP = "127.1.77.1"
 FIRST_PORT = 26400
 MIB = 2**20
 MAX_BODY = 2 * MIB
@@ -41,6 +42,7 @@
 START_TIMEOUT_S = 30.0
 ANSWER_TIMEOUT_S = 20.0
 SAMPLE_S = 0.05
+MAX_SHOWN_CHARS = 1000
 LARGE_ANSWER_BYTES = 1_000_000
 HABITS_BY_NAME = {
     "bodies that stop 7 bytes short": Announced(MAX_BODY, MAX_BODY - 7, MAX_BODY),
@@ -116,6 +118,7 @@
         "pid",
         "replica",
         "records",
+        "_folder",
         "_servers",
         "_sampling",
     )
@@ -126,6 +129,7 @@
         self.pid = None
         self._servers = []
         self._sampling = None
+        self._folder = Path(folder)
         self.records = Records()
         store = ObjectStore(seed=1)
         document = configuration_document(
@@ -168,17 +172,23 @@
         self.pid = self.daemon.pid
         ends_at = time.monotonic() + START_TIMEOUT_S
         while await ask(self.daemon.caller_address, limit_s=ANSWER_TIMEOUT_S) != 200:
-            assert time.monotonic() < ends_at, "the daemon did not start"
+            if time.monotonic() > ends_at or not self.daemon.is_running:
+                await self.__aexit__()
+                raise AssertionError(f"the daemon did not start: {self._last_log()}")
             await asyncio.sleep(SAMPLE_S)
         self._sampling = asyncio.ensure_future(self._sample())
         return self
 
     async def __aexit__(self, *error):
-        self._sampling.cancel()
+        if self._sampling is not None:
+            self._sampling.cancel()
         await self.daemon.kill()
         for server in self._servers:
             await server.close()
 
+    def _last_log(self):
+        return (self._folder / "front-1.log").read_text()[-MAX_SHOWN_CHARS:]
+
     async def _sample(self):
         while True:
             self.usage.sample(self.pid, self.daemon.caller_address[1])
