--- a/standins/emulator/_documents.py
+++ b/standins/emulator/_documents.py
@@ -39,7 +39,13 @@
 
 
 def configuration_document(
-    version, *, routes=None, keys=(KEY,), services=None, model_service=None
+    version,
+    *,
+    routes=None,
+    keys=(KEY,),
+    services=None,
+    model_service=None,
+    max_body_bytes=65536,
 ):
     """Return a complete configuration, as the operator writes it.
 
@@ -63,7 +69,7 @@
         ],
         "limits": {
             "maxHeaderBytes": 16384,
-            "maxBodyBytes": 65536,
+            "maxBodyBytes": max_body_bytes,
             "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000,
         },
