Check a configuration before it is sent

An operator learned of a wrong configuration from daemons that went on with the version before, one error at a time, and not at all of routes that can never match or limits that contradict each other. pimentogap-check reads a file with the daemons' own decoder, which now collects every problem, and tells errors, entries that never match, contradictions and what differs from the version in force.

--- a/features/end_to_end/settings.feature
+++ b/features/end_to_end/settings.feature
@@ -13,4 +13,4 @@
     Then the packages that make decisions import neither tornado, grpclib nor yaml
 
   Scenario: Every program shows examples and exit codes in its help
-    Then --help of daemon, ctl and report shows examples and exit codes
+    Then --help of daemon, ctl, report and check shows examples and exit codes
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -17,7 +17,7 @@
 
 from pimentogap.errors import PeerRefused, PeerUnreachable
 from pimentogap.peers.grpc import GrpcTransport
-from pimentogap.programs import run_ctl, run_daemon, run_report
+from pimentogap.programs import run_check, run_ctl, run_daemon, run_report
 from standins._tokens import answer
 from standins.deployment import get_json, wait_until
 
@@ -27,6 +27,7 @@
 DECISION_PACKAGES = (
     "access",
     "actions",
+    "checks",
     "fleet",
     "groups",
     "kernel",
@@ -346,9 +347,9 @@
     assert not IO_LIBRARIES & {name.partition(".")[0] for name in loaded}
 
 
-@then("--help of daemon, ctl and report shows examples and exit codes")
+@then("--help of daemon, ctl, report and check shows examples and exit codes")
 def then_help(context):
-    for run in (run_daemon, run_ctl, run_report):
+    for run in (run_daemon, run_ctl, run_report, run_check):
         output = io.StringIO()
         with contextlib.redirect_stdout(output), contextlib.suppress(SystemExit):
             run(["--help"])
--- a/pimentogap/platform/__init__.py
+++ b/pimentogap/platform/__init__.py
@@ -2,9 +2,11 @@
 
 from pimentogap.platform._backends import decode_backend
 from pimentogap.platform._configuration import decode_configuration
+from pimentogap.platform._documents import read_document
 from pimentogap.platform._engines import HttpEngines
 from pimentogap.platform._headers import PlatformHeaders
 from pimentogap.platform._objects import ObjectTransport
+from pimentogap.platform._places import describe_place
 from pimentogap.platform._settings import load_platform_settings
 
 BACKEND_COLLECTION = "servers"
@@ -22,5 +24,7 @@
     "PlatformHeaders",
     "decode_backend",
     "decode_configuration",
+    "describe_place",
     "load_platform_settings",
+    "read_document",
 ]
--- a/pimentogap/programs/__init__.py
+++ b/pimentogap/programs/__init__.py
@@ -10,6 +10,7 @@
     "add_listeners": "_assembly",
     "assemble": "_assembly",
     "assemble_front": "_front",
+    "run_check": "_check",
     "run_ctl": "_ctl",
     "run_daemon": "_daemon",
     "run_front": "_front",
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -141,7 +141,8 @@
 
     ``workspaces_by_key`` maps callers' keys to workspaces; it is ``None`` if the
     platform configures no workspaces. ``priorities_by_workspace`` has the rank of
-    each workspace that names one, which goes before that of the route.
+    each workspace that names one, which goes before that of the route. ``workspaces``
+    has the names of all workspaces, in the order of the document.
     """
 
     version: int
@@ -151,6 +152,7 @@
     workspaces_by_key: dict | None = None
     routes_by_host: dict = field(default_factory=dict)
     priorities_by_workspace: dict = field(default_factory=dict)
+    workspaces: tuple = ()
 
     def priority(self, route, workspace):
         """Return the rank of requests of ``workspace`` on ``route``, 0 the highest."""
