--- a/pimentogap/intake/_account.py
+++ b/pimentogap/intake/_account.py
@@ -80,7 +80,12 @@
         self._unsent_bytes += size
 
     def gives_way(self, caller):
-        """Return whether other large bodies are being read that all began earlier."""
+        """Return whether ``caller`` is to give way to large bodies that began earlier.
+
+        It is if nobody began later, and its address doesn't hold less than others.
+        """
+        if self.is_under_fair_part(caller.address):
+            return False
         if caller not in self._large_unfinished:
             return bool(self._large_unfinished)
         youngest = next(reversed(self._large_unfinished))
@@ -88,8 +93,17 @@
 
     def is_over_fair_part(self, address):
         """Return whether large bodies of ``address`` hold more than its fair part."""
-        held = self._large_bytes_by_address.get(address, 0)
-        return held * max(1, len(self._large_bytes_by_address)) > self._large_bytes
+        return self._held_by(address) > self._fair_part()
+
+    def is_under_fair_part(self, address):
+        """Return whether large bodies of ``address`` hold less than its fair part."""
+        return self._held_by(address) < self._fair_part()
+
+    def _held_by(self, address):
+        return self._large_bytes_by_address.get(address, 0)
+
+    def _fair_part(self):
+        return self._large_bytes / max(1, len(self._large_bytes_by_address))
 
     def _set_held(self, caller, held):
         if is_small(caller.held):
--- a/pimentogap/intake/_service.py
+++ b/pimentogap/intake/_service.py
@@ -1,6 +1,7 @@
 """The service that admits connections and bodies of callers."""
 
 import asyncio
+import math
 
 from logbook import Logger
 
@@ -94,7 +95,7 @@
         # Callers and their waits in the order of their coming. Nobody waits for those
         # of another kind; bodies that have begun go before new ones.
         self._queues_by_kind = {"small": {}, "begun": {}, "new": {}}
-        self._relieved_at = 0.0
+        self._relieved_at = -math.inf
         self._counts_by_cause = {}
         self._swept_at = 0.0
 
@@ -154,7 +155,8 @@
 
     def record_sent(self, caller, size):
         """Note that the caller's connection has taken ``size`` bytes."""
-        caller.restart_progress(self._kernel.clock.time())
+        now = self._kernel.clock.time()
+        caller.record_progress(size, now, PROGRESS_BYTES)
 
     def begin_body(self, caller, turn_away):
         """Note that a head is complete.
@@ -278,7 +280,7 @@
             yield reader, "stalled reader"
         for body in sorted(still, key=lambda caller: -caller.held):
             yield body, "stalled body"
-        if all(self.account.is_over_fair_part(c.address) for c in waiting):
+        if not any(self.account.is_under_fair_part(c.address) for c in waiting):
             return
         for body in reversed(bodies):
             if body.held and self.account.is_over_fair_part(body.address):
