--- a/pimentogap/intake/_service.py
+++ b/pimentogap/intake/_service.py
@@ -1,6 +1,7 @@
 """The service that admits connections and bodies of callers."""
 
 import asyncio
+import math
 
 from logbook import Logger
 
@@ -22,7 +23,7 @@
 log = Logger("intake")
 
 SWEEP_S = 0.5
-# Nobody is judged by a sweep that comes this late: the daemon itself stood still.
+# A sweep that comes this late judges nobody: the daemon itself stood still.
 MAX_SWEEP_DELAY_S = 1.0
 # Added to the limits of the configuration, for links and a busy machine.
 MARGIN_S = 1.0
@@ -37,6 +38,8 @@
 # How long a body waits for room.
 MAX_WAIT_S = 1.0
 RETRY_AFTER_S = 0.5
+# All refused requests together are read once in this time.
+DRAIN_S = 0.001
 
 
 class NoRoom(Exception):
@@ -75,6 +78,7 @@
         "_relieved_at",
         "_counts_by_cause",
         "_swept_at",
+        "_skips_sweep",
     )
 
     def __init__(self, settings):
@@ -94,9 +98,10 @@
         # Callers and their waits in the order of their coming. Nobody waits for those
         # of another kind; bodies that have begun go before new ones.
         self._queues_by_kind = {"small": {}, "begun": {}, "new": {}}
-        self._relieved_at = 0.0
+        self._relieved_at = -math.inf
         self._counts_by_cause = {}
         self._swept_at = 0.0
+        self._skips_sweep = False
 
     async def start(self, kernel):
         """Begin to look for callers that make no progress."""
@@ -154,7 +159,8 @@
 
     def record_sent(self, caller, size):
         """Note that the caller's connection has taken ``size`` bytes."""
-        caller.restart_progress(self._kernel.clock.time())
+        now = self._kernel.clock.time()
+        caller.record_progress(size, now, PROGRESS_BYTES)
 
     def begin_body(self, caller, turn_away):
         """Note that a head is complete.
@@ -185,6 +191,11 @@
         self.release(caller)
         self._set_phase(caller, Leaving())
 
+    async def wait_to_drain(self):
+        """Wait before the next bytes of a refused request are read and dropped."""
+        leaving = len(self._callers_by_phase[Leaving])
+        await self._kernel.clock.sleep(leaving * DRAIN_S)
+
     def try_reserve(self, caller, size):
         """Reserve ``size`` bytes of a body if they fit; return whether they do."""
         if not self.account.fits(caller, size):
@@ -200,6 +211,8 @@
         """
         if caller.held and self.account.gives_way(caller):
             raise NoRoom
+        if sum(map(len, self._queues_by_kind.values())) >= self._limits.waiting:
+            raise NoRoom
         queue = self._queues_by_kind[_queue_kind(caller, size)]
         wait = queue[caller] = _Wait(size)
         self._relieve(self._kernel.clock.time())
@@ -278,7 +291,7 @@
             yield reader, "stalled reader"
         for body in sorted(still, key=lambda caller: -caller.held):
             yield body, "stalled body"
-        if all(self.account.is_over_fair_part(c.address) for c in waiting):
+        if not any(self.account.is_under_fair_part(c.address) for c in waiting):
             return
         for body in reversed(bodies):
             if body.held and self.account.is_over_fair_part(body.address):
@@ -306,7 +319,9 @@
             now = self._kernel.clock.time()
             is_late = now - self._swept_at > SWEEP_S + MAX_SWEEP_DELAY_S
             self._swept_at = now
-            if not is_late:
+            # Callers may hold up every sweep, so the next one judges in any case.
+            self._skips_sweep = is_late and not self._skips_sweep
+            if not self._skips_sweep:
                 self._sweep(now)
             self._log_counts()
 
