Count what callers do not take where it is written

Answers written in parts without waiting could stay counted after they were taken, since tornado keeps only the last write's future. A length that is repeated reserves its memory too.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -12,6 +12,7 @@
       | a body far over the limit       | 413    |
       | chunks far over the limit       | 413    |
       | a chunk far over the limit      | 413    |
+      | a length that is repeated       | 413    |
       | a length of superscript digits  | 400    |
       | a length of 30 digits           | 413    |
       | two different lengths           | 400    |
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -32,6 +32,9 @@
     + "Transfer-Encoding: chunked\r\n\r\n40000000\r\n"
     + "x" * 3_000_000,
     "a length of 30 digits": HEAD + f"Content-Length: {'9' * 30}\r\n\r\nx",
+    "a length that is repeated": HEAD
+    + "Content-Length: 3000000, 3000000\r\n\r\n"
+    + "x" * 3_000_000,
     "two different lengths": HEAD + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
     "a length and chunks": HEAD
     + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -40,18 +40,15 @@
         "_connection",
         "stream",
         "_closes_connection",
-        "_intake",
     )
 
-    def __init__(self, connection, stream, closes_connection, intake):
+    def __init__(self, connection, stream, closes_connection):
         """Prepare to answer on ``connection``.
 
         :param stream: the `CallerStream` below ``connection``.
         :param closes_connection: callable that returns whether the connection
             closes after the answer.
-        :param intake: counts what the caller does not take.
         """
-        self._intake = intake
         self.begun = False
         self.ended = False
         self._connection = connection
@@ -77,24 +74,14 @@
     def send(self, chunk):
         """Write ``chunk`` without waiting until it is written to the socket."""
         if chunk:
-            _ignore_error(self._write(chunk))
+            _ignore_error(self._connection.write(chunk))
 
     async def write(self, chunk):
         """Write ``chunk`` and wait until it is written to the socket.
 
         :raises StreamClosedError: if the caller has closed the connection.
         """
-        await self._write(chunk)
-
-    def _write(self, chunk):
-        written = self._connection.write(chunk)
-        if not written.done():
-            caller, size = self.stream.caller, len(chunk)
-            self._intake.add_unsent(caller, size)
-            written.add_done_callback(
-                lambda done: self._intake.remove_unsent(caller, size)
-            )
-        return written
+        await self._connection.write(chunk)
 
     def finish(self):
         """End a complete answer."""
@@ -136,9 +123,7 @@
         self._task = None
         self.refused = False
         self._dropped_bytes = 0
-        self._response = CallerResponse(
-            connection, stream, self._should_close, service.intake
-        )
+        self._response = CallerResponse(connection, stream, self._should_close)
 
     def headers_received(self, start_line, headers):
         """Check the request line and headers against the current limits."""
@@ -146,7 +131,8 @@
         self._start_line = start_line
         self._headers = headers
         limits = self._service.limits()
-        declared = headers.get("Content-Length", "0")
+        # tornado takes a length that is repeated, and refuses different ones.
+        declared = headers.get("Content-Length", "0").partition(",")[0].strip()
         self._path = _decode_path(start_line.path)
         if not self._path.startswith("/") or "Host" not in headers:
             self._refuse_at_head(BAD_REQUEST_STATUS, "malformed")
@@ -192,8 +178,9 @@
             self._refuse(TOO_LARGE_STATUS, "body too large")
             return None
         caller = self.stream.caller
-        if self.stream.is_chunked and size + BUFFERED_BYTES > caller.held:
-            step = max(STEP_BYTES, size + BUFFERED_BYTES - caller.held)
+        needed = size + BUFFERED_BYTES if self.stream.is_chunked else size
+        if needed > caller.held:
+            step = max(STEP_BYTES, needed - caller.held)
             if not self._service.intake.try_reserve(caller, step):
                 return self._append_later(chunk, step)
         self._body += chunk
@@ -213,7 +200,14 @@
         if self._dropped_bytes > LINGER_BYTES:
             self.stream.close()
             return None
-        return self._service.intake.wait_to_drain()
+        return self._wait_to_drain()
+
+    async def _wait_to_drain(self):
+        try:
+            await self._service.intake.wait_to_drain()
+        except asyncio.CancelledError:
+            # tornado would log it and raise another error for it.
+            self.stream.close()
 
     def finish(self):
         """Start the task that answers the request, once it is complete."""
--- a/pimentogap/ingress/_stream.py
+++ b/pimentogap/ingress/_stream.py
@@ -34,6 +34,7 @@
         self.caller = None
         self._intake = intake
         self._meter = None
+        self._unsent_bytes = 0
         self._searched_bytes = 0
 
     @property
@@ -58,10 +59,21 @@
                 self._meter.record_bytes(size)
         return size
 
+    def write(self, data):
+        """Write as `IOStream` does, and report what the caller has not taken."""
+        self._unsent_bytes += len(data)
+        written = super().write(data)
+        if self._unsent_bytes and self.caller is not None:
+            self._intake.add_unsent(
+                self.caller, self._unsent_bytes - self.caller.unsent
+            )
+        return written
+
     def write_to_fd(self, data):
         """Write as `IOStream` does, and report how much."""
         size = super().write_to_fd(data)
-        if size and self.caller is not None and self.caller.unsent:
+        self._unsent_bytes -= size
+        if self.caller is not None and self.caller.unsent:
             self._intake.record_sent(self.caller, size)
         return size
 
--- a/pimentogap/intake/_service.py
+++ b/pimentogap/intake/_service.py
@@ -158,9 +158,10 @@
                 caller.record_progress(size, now, PROGRESS_BYTES)
 
     def record_sent(self, caller, size):
-        """Note that the caller's connection has taken ``size`` bytes."""
-        now = self._kernel.clock.time()
-        caller.record_progress(size, now, PROGRESS_BYTES)
+        """Note that the caller has taken ``size`` bytes of its answer."""
+        caller.record_progress(size, self._kernel.clock.time(), PROGRESS_BYTES)
+        self.account.add_unsent(caller, -min(size, caller.unsent))
+        self._grant_waiting()
 
     def begin_body(self, caller, turn_away):
         """Note that a head is complete.
@@ -237,11 +238,6 @@
             caller.restart_progress(self._kernel.clock.time())
         self.account.add_unsent(caller, size)
 
-    def remove_unsent(self, caller, size):
-        """Count ``size`` bytes as taken, unless the connection has ended before."""
-        self.account.add_unsent(caller, -min(size, caller.unsent))
-        self._grant_waiting()
-
     def count(self, cause):
         """Count a caller that was turned away."""
         cause = cause.replace(" ", "_")
