--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -31,8 +31,8 @@
 )
 from standins.emulator._documents import route
 
-# Not that of other tests, whose daemons serve metrics on the same port.
-IP = "127.1.77.1"
+# An address of this process alone, so that runs beside each other use the same ports.
+IP = f"127.2.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}"
 FIRST_PORT = 26400
 MIB = 2**20
 MAX_BODY = 2 * MIB
