Keep what the kernel holds of callers' connections small

With 4,000 connections 192 MB were received and not read, beside 213 MB of the process. Receive buffers are 32 KiB until a body has its memory, fewer connections and waiting bodies are admitted (one for each 96 KiB of callers' memory). The tests count unread bytes of their own address only, not those of other runs on the same port.

--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import os
+import socket
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -42,6 +44,7 @@
 START_TIMEOUT_S = 30.0
 ANSWER_TIMEOUT_S = 20.0
 SAMPLE_S = 0.05
+LISTENING = "0A"
 MAX_SHOWN_CHARS = 1000
 LARGE_ANSWER_BYTES = 1_000_000
 HABITS_BY_NAME = {
@@ -100,11 +103,12 @@
 
 def unread_bytes(port):
     """Return what has been received on connections to ``port`` and was not read."""
-    suffix = f":{port:04X}"
+    ip = int.from_bytes(socket.inet_aton(IP), sys.byteorder)
+    local = f"{ip:08X}:{port:04X}"
     total = 0
     for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[1].endswith(suffix) and fields[3] != "0A":
+        if fields[1] == local and fields[3] != LISTENING:
             total += int(fields[4].partition(":")[2], 16)
     return total
 
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -13,7 +13,11 @@
 
 from pimentogap.forwarding import CallerRequest
 from pimentogap.ingress._refusals import LINGER_BYTES, send_refusal
-from pimentogap.ingress._stream import ADMITTED_UNREAD_BYTES, UNREAD_BYTES
+from pimentogap.ingress._stream import (
+    ADMITTED_UNREAD_BYTES,
+    CHUNKED_UNREAD_BYTES,
+    UNREAD_BYTES,
+)
 from pimentogap.intake import RETRY_AFTER_S, NoRoom
 from pimentogap.types import decimal_or_none, is_above
 
@@ -24,6 +28,8 @@
 # than it has, for the buffers on the way to it.
 STEP_BYTES = 32 * 1024
 BUFFERED_BYTES = 32 * 1024
+# From this size on, a chunked body gets a larger receive buffer.
+LARGE_CHUNKED_BYTES = 256 * 1024
 UNAVAILABLE_STATUS = 503
 TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
@@ -165,8 +171,8 @@
             self._read_faster(size)
 
     def _read_faster(self, size):
-        """Let more of a large body be on its way, once its memory is reserved."""
-        if size > UNREAD_BYTES:
+        """Let more of a large body be on its way, once all its memory is reserved."""
+        if size > UNREAD_BYTES and not self.stream.is_chunked:
             self.stream.allow_unread(ADMITTED_UNREAD_BYTES)
 
     def data_received(self, chunk):
@@ -183,6 +189,7 @@
             step = max(STEP_BYTES, needed - caller.held)
             if not self._service.intake.try_reserve(caller, step):
                 return self._append_later(chunk, step)
+            self._read_chunks_faster(step)
         self._body += chunk
         return None
 
@@ -193,8 +200,18 @@
             if not self.refused:
                 self._refuse(UNAVAILABLE_STATUS, "no room")
             return
+        self._read_chunks_faster(step)
         self._body += chunk
 
+    def _read_chunks_faster(self, step):
+        """Let more of a chunked body be on its way, once it has become large."""
+        if (
+            self.stream.caller.held - step
+            < LARGE_CHUNKED_BYTES
+            <= self.stream.caller.held
+        ):
+            self.stream.allow_unread(CHUNKED_UNREAD_BYTES)
+
     def _drop(self, chunk):
         self._dropped_bytes += len(chunk)
         if self._dropped_bytes > LINGER_BYTES:
--- a/pimentogap/ingress/_stream.py
+++ b/pimentogap/ingress/_stream.py
@@ -14,10 +14,12 @@
 READ_BYTES = 32 * 1024
 # The end of a head may straddle two reads.
 HEAD_END_BYTES = 3
-# What the kernel holds of a connection that is not read: of any, of one whose body has
-# its memory, and of one whose chunks are costly. The kernel doubles these.
-UNREAD_BYTES = 64 * 1024
+# What the kernel holds of a connection that is not read (it takes twice as much): of
+# any, of one whose whole body has its memory, of one with a large body in chunks, and
+# of one whose chunks are costly.
+UNREAD_BYTES = 16 * 1024
 ADMITTED_UNREAD_BYTES = 512 * 1024
+CHUNKED_UNREAD_BYTES = 128 * 1024
 COSTLY_UNREAD_BYTES = 4 * 1024
 
 
--- a/pimentogap/intake/_limits.py
+++ b/pimentogap/intake/_limits.py
@@ -10,12 +10,12 @@
 # A VM that is smaller than the base still serves, with this share of its memory.
 LEAST_SHARE = 0.1
 SMALL_SHARE = 0.25
-# A connection's buffers are not larger, whatever its caller sends.
-CONNECTION_BYTES = 48 * 1024
+# What a connection needs at most besides its body, with what the kernel holds of it.
+CONNECTION_BYTES = 96 * 1024
 # What the kernel holds of a connection that is not read, and the share of the memory
 # that may be held so.
-UNREAD_BYTES = 128 * 1024
-UNREAD_SHARE = 0.25
+UNREAD_BYTES = 32 * 1024
+UNREAD_SHARE = 0.1
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 # The remaining descriptors go to backend servers, the store and other daemons.
