--- a/pimentogap/ingress/_stream.py
+++ b/pimentogap/ingress/_stream.py
@@ -14,10 +14,12 @@
 READ_BYTES = 32 * 1024
 # The end of a head may straddle two reads.
 HEAD_END_BYTES = 3
-# What the kernel holds of a connection that is not read: of any, of one whose body has
-# its memory, and of one whose chunks are costly. The kernel doubles these.
-UNREAD_BYTES = 64 * 1024
+# What the kernel holds of a connection that is not read (it takes twice as much): of
+# any, of one whose whole body has its memory, of one with a large body in chunks, and
+# of one whose chunks are costly.
+UNREAD_BYTES = 16 * 1024
 ADMITTED_UNREAD_BYTES = 512 * 1024
+CHUNKED_UNREAD_BYTES = 128 * 1024
 COSTLY_UNREAD_BYTES = 4 * 1024
 
 
@@ -34,6 +36,7 @@
         self.caller = None
         self._intake = intake
         self._meter = None
+        self._unsent_bytes = 0
         self._searched_bytes = 0
 
     @property
@@ -58,10 +61,21 @@
                 self._meter.record_bytes(size)
         return size
 
+    def write(self, data):
+        """Write as `IOStream` does, and report what the caller has not taken."""
+        self._unsent_bytes += len(data)
+        written = super().write(data)
+        if self._unsent_bytes and self.caller is not None:
+            self._intake.add_unsent(
+                self.caller, self._unsent_bytes - self.caller.unsent
+            )
+        return written
+
     def write_to_fd(self, data):
         """Write as `IOStream` does, and report how much."""
         size = super().write_to_fd(data)
-        if size and self.caller is not None and self.caller.unsent:
+        self._unsent_bytes -= size
+        if self.caller is not None and self.caller.unsent:
             self._intake.record_sent(self.caller, size)
         return size
 
