Give out the permits of cold servers one by one, and sooner again

With 74 daemons half of the permits that were given for later expired, and daemons that found none came back after seconds, when the server was hardly cold any more: a server that bears 17 requests a second got 12.6. Paces say now how many permits are given beyond what is asked for, and how often daemons may ask in vain.

--- a/features/platform/cold_servers.feature
+++ b/features/platform/cold_servers.feature
@@ -36,16 +36,18 @@
 
   # Guards against: cold servers are left idle while callers are refused.
   Scenario Outline: A cold server gets most of what it bears while callers wait
-    Given a platform whose cold servers bear 5 requests a second, with <daemons> daemons
+    Given a platform whose cold servers bear <rate> requests a second, with <daemons> daemons
     And its groups are open
-    When all heads become cold for 8 seconds while 60 streams arrive each second
-    Then no cold server crashed, and none got more than 12.5 requests in any second
-    And each cold server got at least 0.8 times 5 requests a second
+    When all heads become cold for <seconds> seconds while <streams> streams arrive each second
+    Then no cold server crashed, and none got more than <bound> requests in any second
+    And each cold server got at least 0.8 times <rate> requests a second
 
     Examples:
-      | daemons |
-      | 6       |
-      | 74      |
+      | daemons | rate | bound | streams | seconds |
+      | 6       | 5    | 12.5  | 60      | 8       |
+      | 74      | 5    | 12.5  | 60      | 8       |
+      | 6       | 10   | 20    | 100     | 4       |
+      | 74      | 10   | 20    | 100     | 4       |
 
   Scenario Outline: A rate of <rate> for cold servers limits nothing
     Given a platform whose cold servers bear <rate> requests a second, with 6 daemons
--- a/pimentogap/permits/_bucket.py
+++ b/pimentogap/permits/_bucket.py
@@ -2,12 +2,6 @@
 
 from collections import deque
 
-# Permits that are given beyond what was asked for, in seconds of the limit, so that
-# large limits do not cost a call for each request.
-PREFETCH_S = 0.1
-# Daemons that found no permit come back so late that one backend server causes no more
-# calls than this.
-MAX_CALLS_PER_S = 20
 CALL_WINDOW_S = 1.0
 
 
@@ -36,20 +30,20 @@
         self._refilled_at = max(now, self._refilled_at)
         self.per_s = per_s
 
-    def take(self, wanted):
+    def take(self, wanted, prefetch_s):
         """Take up to ``wanted`` permits and some for later; return how many."""
-        taken = min(int(self._permits), wanted + int(self.per_s * PREFETCH_S))
+        taken = min(int(self._permits), wanted + int(self.per_s * prefetch_s))
         self._permits -= taken
         return taken
 
-    def next_in_s(self, now):
+    def next_in_s(self, now, max_calls_per_s):
         """Return when a daemon that found no permit should ask again, in seconds."""
         calls = self._calls
         calls.append(now)
         while calls[0] < now - CALL_WINDOW_S:
             calls.popleft()
         next_permit_s = (1.0 - self._permits) / self.per_s
-        return max(next_permit_s, len(calls) / MAX_CALLS_PER_S * CALL_WINDOW_S)
+        return max(next_permit_s, len(calls) / max_calls_per_s * CALL_WINDOW_S)
 
 
 class PermitIssuer:
@@ -69,8 +63,8 @@
         if bucket is None or bucket.incarnation != pace.incarnation:
             bucket = self._buckets_by_id[backend_id] = PermitBucket(pace, now)
         bucket.refill(pace, now)
-        taken = bucket.take(wanted)
-        return taken, 0.0 if taken else bucket.next_in_s(now)
+        taken = bucket.take(wanted, pace.prefetch_s)
+        return taken, 0.0 if taken else bucket.next_in_s(now, pace.max_calls_per_s)
 
     def forget(self, is_listed):
         """Forget the backend servers for whose id ``is_listed`` returns ``False``."""
--- a/pimentogap/permits/_pace.py
+++ b/pimentogap/permits/_pace.py
@@ -10,6 +10,13 @@
 # Permits that may be saved up, in seconds of the rate.
 BURST_S = 0.3
 COLD_BURST_S = 0.1
+# Permits that are given beyond what was asked for, in seconds of the rate, so that
+# large limits do not cost a call for each request.
+PREFETCH_S = 0.1
+# Daemons that found no permit come back so late that one backend server causes no more
+# calls than this; more for one that is cold, which is over soon.
+MAX_CALLS_PER_S = 20
+COLD_CALLS_PER_PERMIT = 3
 # The part of what a cold server bears in a second that its owner's permits may use. The
 # rest is for daemons that cannot reach the owner.
 OWNER_PART = 0.8
@@ -19,7 +26,9 @@
 class Pace:
     """The owner of a backend server gives out ``per_s`` permits a second.
 
-    It saves up those of ``burst_s`` seconds. All daemons that cannot reach it may send
+    It saves up those of ``burst_s`` seconds, and gives those of ``prefetch_s`` seconds
+    beyond what a daemon asks for. Those that it denies one ask ``max_calls_per_s``
+    times a second at most. All daemons that cannot reach it may send
     ``shared_per_s`` together, each an even share of which a permit is lost that is not
     used within ``share_life_s``. ``reason`` says what limits the server.
     """
@@ -28,6 +37,8 @@
     per_s: float
     shared_per_s: float
     burst_s: float
+    prefetch_s: float
+    max_calls_per_s: float
     share_life_s: float
     reason: str
 
@@ -48,19 +59,36 @@
         bound = self.overrun * cold_per_s + self.slack
         span_s = 1.0 + PERMIT_LIFE_S
         owner_per_s = (OWNER_PART * bound - 1.0) / (span_s + COLD_BURST_S)
-        return Pace(
-            incarnation,
-            per_s=max(MIN_RATE_PER_S, min(cold_per_s, owner_per_s)),
-            shared_per_s=(1.0 - OWNER_PART) * bound / span_s,
-            burst_s=COLD_BURST_S,
-            share_life_s=PERMIT_LIFE_S,
-            reason="cold",
-        )
+        per_s = max(MIN_RATE_PER_S, min(cold_per_s, owner_per_s))
+        shared_per_s = (1.0 - OWNER_PART) * bound / span_s
+        return _cold_pace(incarnation, per_s, shared_per_s)
+
+
+def _cold_pace(incarnation, per_s, shared_per_s):
+    return Pace(
+        incarnation,
+        per_s=per_s,
+        shared_per_s=shared_per_s,
+        burst_s=COLD_BURST_S,
+        prefetch_s=0.0,
+        max_calls_per_s=max(MAX_CALLS_PER_S, COLD_CALLS_PER_PERMIT * per_s),
+        share_life_s=PERMIT_LIFE_S,
+        reason="cold",
+    )
 
 
 def named_pace(incarnation, per_s):
     """Return the `Pace` of a backend server that names a limit."""
-    return Pace(incarnation, per_s, per_s, BURST_S, math.inf, "named")
+    return Pace(
+        incarnation,
+        per_s=per_s,
+        shared_per_s=per_s,
+        burst_s=BURST_S,
+        prefetch_s=PREFETCH_S,
+        max_calls_per_s=MAX_CALLS_PER_S,
+        share_life_s=math.inf,
+        reason="named",
+    )
 
 
 def decode_pace(body):
@@ -71,10 +99,9 @@
     incarnation, per_s = int(body["incarnation"]), float(body["per_s"])
     if not 0 < per_s <= MAX_RATE_PER_S:
         raise ValueError(f"per_s must be above 0, got {per_s!r}")
-    is_cold = body.get("reason") == "cold"
-    burst_s = COLD_BURST_S if is_cold else BURST_S
-    reason = "cold" if is_cold else "named"
-    return Pace(incarnation, per_s, 0.0, burst_s, 0.0, reason)
+    if body.get("reason") == "cold":
+        return _cold_pace(incarnation, per_s, 0.0)
+    return named_pace(incarnation, per_s)
 
 
 def slower(first, second):
