--- a/standins/emulator/_replicas.py
+++ b/standins/emulator/_replicas.py
@@ -213,6 +213,8 @@
         self.publish()
 
     def _cold_left_ms(self):
+        if math.isinf(self.cold_until):
+            return 0
         left_s = self.cold_until - asyncio.get_running_loop().time()
         return round(1000 * max(0.0, left_s))
 
