Try a store that fails by one call for each daemon

Cause: the client's circuit breaker opened for 0.5 s and then let every waiting call through at once, each of which had to fail on its own before it opened again; and a daemon that found its relay out of date tried the store before the next relay.

Now one call is tried when the breaker has been open for 0.5 s to 0.8 s; all others wait for it and follow at once if it succeeds. While the store is in doubt, all relays are asked before it.

--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -32,7 +32,7 @@
         return fleet
 
     context.simulation.fleet = context.simulation.run(start())
-    context.rounds = ROUNDS_BY_DAEMONS[count]
+    context.rounds = ROUNDS_BY_DAEMONS.get(count, 1)
 
 
 @when("{what} of {whose} are lost, and then everything changes in the store")
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -199,10 +199,11 @@
                 revision = None
             except StoreError as error:
                 self._record_unavailable(subscription, error)
-                pause_s = delay_s * self._kernel.random.uniform(0.7, 1.3)
-                # A call that the breaker refuses tells nothing new of the store.
-                await clock.sleep(min(pause_s, self._store.refuses_for_s()) or pause_s)
-                delay_s = min(MAX_RETRY_DELAY_S, delay_s * 1.5)
+                if self._store.is_in_doubt():
+                    await self._store.wait_while_refusing()
+                else:
+                    await clock.sleep(delay_s * self._kernel.random.uniform(0.7, 1.3))
+                    delay_s = min(MAX_RETRY_DELAY_S, delay_s * 1.5)
 
     async def _pause_between_reads(self, subscription, update, began_at):
         """Let changes that come close together be read by one call."""
@@ -226,7 +227,7 @@
             # The copy from the store must not stop being fresh meanwhile.
             may_wait = False
         subscription.reads_store = address is None
-        if address is not None:
+        while address is not None:
             try:
                 return await self._read_relay(
                     address, subscription, revision, may_wait=may_wait
@@ -234,6 +235,9 @@
             except (PeerUnreachable, ResponseLost) as error:
                 self._drop_relay(subscription, address, revision, error)
                 may_wait = False
+            # A store that fails is tried last.
+            in_doubt = self._store.is_in_doubt()
+            address = self._choose_relay(subscription) if in_doubt else None
         wait_s = CATCH_UP_WAIT_S
         if may_wait:
             wait_s = subscription.next_watch_wait_s(self._now())
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -1,10 +1,11 @@
 """The service through which all others call the platform's object API."""
 
+import asyncio
 import math
 
 from logbook import Logger
 
-from pimentogap.errors import StoreAnswerLost, StoreUnavailable
+from pimentogap.errors import StoreAnswerLost, StoreError, StoreUnavailable
 from pimentogap.store._calls import (
     Conflict,
     Delete,
@@ -26,7 +27,13 @@
 RETRY_BASE_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 1.0
 BREAKER_FAILURES = 5
+# The breaker opens for longer each time that the store still fails. With the read that
+# follows, a change is in force 2 s after the store's return.
 BREAKER_OPEN_S = 0.5
+MAX_BREAKER_OPEN_S = 0.8
+BREAKER_GROWTH = 1.25
+# One call is tried in this time while it is not known whether the store answers again.
+TRIAL_INTERVAL_S = 0.3
 # No further attempt of a read starts after this time; the last one may end later.
 # The same holds for each `WRITE_RETRY_LIMIT_S` that is passed to `StoreClient.write`.
 READ_RETRY_LIMIT_S = 3.0
@@ -39,14 +46,23 @@
 
 
 class Breaker:
-    """A circuit breaker that refuses calls after several failures in a row."""
+    """A circuit breaker that refuses calls after several failures in a row.
 
-    __slots__ = ("_clock", "_failures", "_open_until")
+    After a while it lets one call through, and all others once a call succeeds.
+    """
+
+    __slots__ = ("_clock", "_failures", "_open_until", "_next_open_s", "_closed")
 
     def __init__(self, clock):
         self._clock = clock
         self._failures = 0
         self._open_until = 0.0
+        self._next_open_s = BREAKER_OPEN_S
+        self._closed = asyncio.Event()
+
+    def is_in_doubt(self):
+        """Return whether the last calls have failed, be it open or not."""
+        return self._failures >= BREAKER_FAILURES
 
     def open_s(self):
         """Return for how many seconds the breaker stays open; 0 if it is not."""
@@ -56,16 +72,34 @@
         """Raise `StoreUnavailable` while the breaker is open."""
         if self.open_s() > 0:
             raise StoreUnavailable("the store has failed several calls in a row")
+        if self.is_in_doubt():
+            self._open_until = self._clock.time() + TRIAL_INTERVAL_S
 
     def record_success(self):
-        """Reset the count of failures in a row."""
+        """Close the breaker."""
         self._failures = 0
+        self._open_until = 0.0
+        self._next_open_s = BREAKER_OPEN_S
+        self._closed.set()
+        self._closed = asyncio.Event()
 
     def record_failure(self):
         """Count a failure and open the breaker if the limit is reached."""
         self._failures += 1
-        if self._failures >= BREAKER_FAILURES:
-            self._open_until = self._clock.time() + BREAKER_OPEN_S
+        if self.is_in_doubt():
+            self._open_until = self._clock.time() + self._next_open_s
+            longer_s = self._next_open_s * BREAKER_GROWTH
+            self._next_open_s = min(MAX_BREAKER_OPEN_S, longer_s)
+
+    async def wait_while_open(self):
+        """Wait until a call may be tried, or one has succeeded."""
+        while (remaining_s := self.open_s()) > 0:
+            try:
+                async with self._clock.timeout(remaining_s):
+                    await self._closed.wait()
+            except TimeoutError:
+                # It may have opened again meanwhile.
+                continue
 
 
 class StoreClient:
@@ -129,9 +163,13 @@
             return 0.0
         return max(0.0, now - self._answering_since)
 
-    def refuses_for_s(self):
-        """Return for how many seconds calls are refused without being sent."""
-        return self._breaker.open_s()
+    def is_in_doubt(self):
+        """Return whether the store has failed several calls in a row, and no other."""
+        return self._breaker.is_in_doubt()
+
+    async def wait_while_refusing(self):
+        """Wait while calls are refused without being sent."""
+        await self._breaker.wait_while_open()
 
     async def get(self, collection, name, *, stale=False):
         """Return the `Stored` object, or ``None`` if there is none.
@@ -256,6 +294,10 @@
             if self._failing_since is None:
                 self._failing_since = self._kernel.clock.time()
             raise
+        except StoreError:
+            # The store has answered, such as that the history is gone.
+            self._breaker.record_success()
+            raise
         self._breaker.record_success()
         self._record_answer(self._kernel.clock.time())
         return answer
