--- /dev/null
+++ b/pimentogap/admission/_service.py
@@ -0,0 +1,246 @@
+"""The service in which requests wait for a place at a model group."""
+
+import asyncio
+from dataclasses import dataclass
+
+from logbook import Logger
+
+from pimentogap.admission._callers import CallerPatience
+from pimentogap.admission._claim import Claim, tightest_objective_s
+from pimentogap.admission._decide import Admit, Hold, Prospect, Turn, decide, is_late
+from pimentogap.admission._line import LineFull, WaitingLine
+from pimentogap.costs import Correction, GroupCost
+from pimentogap.metrics import Series
+from pimentogap.placement import Forward, Full, Limited, Missing
+
+log = Logger("admission")
+
+# A waiting request looks for a place so often, beside the wake-ups by own answers.
+CHECK_INTERVAL_S = 0.025
+MAX_WAITING = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """No place was found for the request, for this ``cause``."""
+
+    cause: str
+
+
+class Pool:
+    """What this daemon knows of one service and model: costs and waiting requests.
+
+    ``changed`` is done when a place may have come free.
+    """
+
+    __slots__ = ("cost", "configured_for", "correction", "line", "changed")
+
+    def __init__(self):
+        self.cost = None
+        self.configured_for = None
+        self.correction = Correction()
+        self.line = WaitingLine(MAX_WAITING)
+        self.changed = asyncio.get_running_loop().create_future()
+
+
+class AdmissionService:
+    """Lets requests on in the order that keeps most of them in time."""
+
+    name = "admission"
+    requires = ("placement", "serving_configuration", "metrics")
+    __slots__ = (
+        "_shares_pools",
+        "_kernel",
+        "_placement",
+        "_configuration",
+        "_metrics",
+        "_patience",
+        "_pools_by_key",
+    )
+
+    def __init__(self, settings):
+        """Govern model services if ``settings`` say that daemons share pools."""
+        self._shares_pools = settings.shares_pools
+        self._kernel = None
+        self._placement = None
+        self._configuration = None
+        self._metrics = None
+        self._patience = CallerPatience()
+        self._pools_by_key = {}
+
+    async def start(self, kernel):
+        """Look up the services."""
+        self._kernel = kernel
+        self._placement = kernel.get("placement")
+        self._configuration = kernel.get("serving_configuration")
+        self._metrics = kernel.get("metrics")
+
+    async def stop(self):
+        """Do nothing; waiting requests end with their callers' connections."""
+
+    def claim(self, request, admitted, deadline):
+        """Return the `Claim` of a request, ``None`` if its service is not governed."""
+        route = admitted.route
+        model = request.needs.model if route.carries_model else ""
+        if self._cost(admitted.service, model) is None:
+            return None
+        configuration = self._configuration.current
+        now = self._kernel.clock.time()
+        return Claim(
+            attempt_id=request.needs.attempt_id,
+            service=admitted.service,
+            model=model,
+            workspace=admitted.workspace,
+            priority=configuration.priority(route, admitted.workspace),
+            objective_s=route.first_byte_s,
+            tightest_s=tightest_objective_s(configuration, route, admitted.service),
+            elapsed_s=self._patience.elapsed_s(
+                route.name, request.needs.deadline_s, now
+            ),
+            arrived_at=request.received_at,
+            deadline=deadline,
+            prompt_tokens=request.needs.prompt_tokens,
+        )
+
+    async def place(self, claim, choose):
+        """Wait until ``claim`` may go on.
+
+        :param choose: returns the placement's present choice for it.
+        :return: the choice and the urgency, or `Refused` and ``None``.
+        """
+        pool = self._pool(claim.service, claim.model)
+        try:
+            pool.line.join(claim, late=claim.left_s(self._kernel.clock.time()) <= 0)
+        except LineFull:
+            self._refuse(claim, pool, "line_full", None)
+            return Refused("line_full"), None
+        try:
+            return await self._wait_in_line(claim, pool, choose)
+        finally:
+            pool.line.leave(claim)
+            self._wake(pool)
+
+    async def _wait_in_line(self, claim, pool, choose):
+        clock = self._kernel.clock
+        while True:
+            now = clock.time()
+            choice = choose()
+            if isinstance(choice, Limited | Missing):
+                return choice, None
+            prospect = self._prospect(choice, pool, now)
+            pool.line.mark_late(claim, is_late(claim, prospect, now))
+            match decide(claim, prospect, now):
+                case Admit(urgency) if pool.line.first(now) is claim:
+                    pool.line.record_admission(claim, now)
+                    self._record_wait(claim, prospect, now)
+                    return choice, urgency
+                case Turn(cause):
+                    self._refuse(claim, pool, cause, prospect)
+                    return Refused(cause), None
+                case Hold(for_s):
+                    wake_in_s = claim.arrived_at + for_s - now
+                case _:
+                    wake_in_s = CHECK_INTERVAL_S
+            await asyncio.wait(
+                {pool.changed}, timeout=max(0.0, min(CHECK_INTERVAL_S, wake_in_s))
+            )
+
+    def expected_s(self, claim, backend):
+        """Return the uncorrected time to a first event at ``backend``, 0 if unknown."""
+        cost = self._cost(claim.service, claim.model) if claim else None
+        if cost is None:
+            return 0.0
+        load = self._placement.load(backend)
+        requests = load.expected_requests(self._kernel.clock.time())
+        return cost.first_event_s(requests, claim.prompt_tokens)
+
+    def record_first_event(self, claim, expected_s, observed_s):
+        """Correct the estimates of a model by an observed first event."""
+        if claim is not None:
+            correction = self._pool(claim.service, claim.model).correction
+            correction.record(observed_s, expected_s, self._kernel.clock.time())
+
+    def record_end(self, claim):
+        """Wake those who wait, since an attempt has ended and its place is free."""
+        if claim is not None:
+            self._wake(self._pool(claim.service, claim.model))
+
+    def _prospect(self, choice, pool, now):
+        match choice:
+            case Forward(backend):
+                load = self._placement.load(backend)
+                requests = load.expected_requests(now)
+            case Full():
+                return None
+        ratio = pool.correction.ratio(now)
+        return Prospect(
+            requests=requests,
+            slots=load.slots,
+            first_event_s=ratio * pool.cost.first_event_s(requests),
+            unloaded_s=pool.cost.first_event_s(0),
+        )
+
+    def _pool(self, service, model):
+        pool = self._pools_by_key.get((service, model))
+        if pool is None:
+            pool = self._pools_by_key[service, model] = Pool()
+        return pool
+
+    def _cost(self, service, model):
+        """Return the `GroupCost` of a model, ``None`` if it is not governed."""
+        configuration = self._configuration.current
+        if not self._shares_pools or configuration is None or not model:
+            return None
+        spec = configuration.services_by_name.get(service)
+        if spec is None or spec.engine is None or spec.engine.timings is None:
+            return None
+        paces = [item.pace for item in spec.engine.models if item.name == model]
+        if not paces or not spec.engine.slots:
+            return None
+        pool = self._pool(service, model)
+        if pool.configured_for is not spec:
+            pool.cost = GroupCost(
+                spec.engine.timings, pace=paces[0], slots=spec.engine.slots
+            )
+            pool.configured_for = spec
+        return pool.cost
+
+    def _wake(self, pool):
+        if not pool.changed.done():
+            pool.changed.set_result(None)
+        pool.changed = asyncio.get_running_loop().create_future()
+
+    def _record_wait(self, claim, prospect, now):
+        waited_s = now - claim.arrived_at
+        if waited_s < CHECK_INTERVAL_S / 2:
+            return
+        series = Series("admission_wait", claim.service, "-", "", claim.model)
+        self._metrics.record_duration(series, waited_s)
+        log.info("waited for a place", **_numbers(claim, prospect, now))
+
+    def _refuse(self, claim, pool, cause, prospect):
+        now = self._kernel.clock.time()
+        series = Series("refused_for_room", claim.service, "-", cause, claim.model)
+        self._metrics.count(series)
+        log.info(
+            "refused for room",
+            cause=cause,
+            waiting=len(pool.line),
+            correction=round(pool.correction.ratio(now), 2),
+            **_numbers(claim, prospect, now),
+        )
+
+
+def _numbers(claim, prospect, now):
+    """Return the numbers that decided, for a log line."""
+    return {
+        "id": claim.attempt_id,
+        "model": claim.model,
+        "priority": claim.priority,
+        "objective_ms": round(claim.objective_s * 1000),
+        "age_ms": round((claim.elapsed_s + now - claim.arrived_at) * 1000),
+        "held_ms": round((now - claim.arrived_at) * 1000),
+        "expected_ms": prospect and round(prospect.first_event_s * 1000),
+        "requests": prospect and round(prospect.requests, 1),
+        "slots": prospect and prospect.slots,
+    }
--- a/pimentogap/forwarding/_attempts.py
+++ b/pimentogap/forwarding/_attempts.py
@@ -20,7 +20,9 @@
     ``outcomes`` has pairs of a backend server's id and the attempt's outcome;
     ``possible_runs`` counts those that may have run, the current one included.
     ``event_filter`` is the `EventFilter` of a stream, or ``None``. ``is_trial`` says
-    that the current attempt tries out a quarantined part of the prompt.
+    that the current attempt tries out a quarantined part of the prompt. ``claim`` is
+    the request's `Claim` if it competes for places, ``urgency`` its rank at the backend
+    server, ``None`` if the server's own default holds.
     """
 
     __slots__ = (
@@ -30,15 +32,19 @@
         "event_filter",
         "first_event_at",
         "is_trial",
+        "claim",
+        "urgency",
     )
 
-    def __init__(self, event_filter):
+    def __init__(self, event_filter, claim=None):
         self.outcomes = []
         self.possible_runs = 0
         self.excluded_ids = set()
         self.event_filter = event_filter
         self.first_event_at = None
         self.is_trial = False
+        self.claim = claim
+        self.urgency = None
 
 
 def outcome_name(outcome):
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -2,6 +2,7 @@
 
 from logbook import Logger
 
+from pimentogap.admission import Refused
 from pimentogap.forwarding._attempts import (
     MAX_LOGGED_PARTS,
     first_event_ms,
@@ -75,6 +76,8 @@
                 self.log_end(request, admitted, attempts, "backend_failed", status)
             case Full():
                 self._refuse_unserved(request, admitted, attempts, "full", remaining_s)
+            case Refused(cause):
+                self._refuse_unserved(request, admitted, attempts, cause, remaining_s)
             case Limited(next_in_s):
                 after_s = max(
                     next_in_s, return_delay_s(remaining_s, self._kernel.random)
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -6,6 +6,7 @@
 
 from logbook import Logger
 
+from pimentogap.admission import Refused
 from pimentogap.errors import ConnectionFailed, ResponseLost, SendWithheld
 from pimentogap.forwarding._attempts import Attempts
 from pimentogap.forwarding._events import EventFilter
@@ -73,6 +74,7 @@
         "pauses",
         "quarantine",
         "permits",
+        "admission",
     )
     __slots__ = (
         "_pool",
@@ -84,6 +86,7 @@
         "_directory",
         "_pauses",
         "_permits",
+        "_admission",
         "_responder",
         "_evidence",
         "_budget",
@@ -110,6 +113,7 @@
         self._directory = None
         self._pauses = None
         self._permits = None
+        self._admission = None
         self._responder = None
         self._evidence = None
         self._budget = RetryBudget(
@@ -133,6 +137,7 @@
         self._directory = kernel.get("directory")
         self._pauses = kernel.get("pauses")
         self._permits = kernel.get("permits")
+        self._admission = kernel.get("admission")
         self._responder = Responder(kernel, self._codec)
         self._evidence = AttemptEvidence(kernel, self._pool)
 
@@ -205,7 +210,8 @@
         event_filter = (
             EventFilter(request.needs.last_event_id) if is_stream(route) else None
         )
-        attempts = Attempts(event_filter)
+        claim = self._admission.claim(request, admitted, deadline)
+        attempts = Attempts(event_filter, claim)
         try:
             outcome = await self._try_backends(request, admitted, attempts, deadline)
         except asyncio.CancelledError:
@@ -230,14 +236,11 @@
         while True:
             if not await self._pauses.wait_until_current(give_up_at=deadline):
                 return outcome or Paused()
-            model = request.needs.model if admitted.route.carries_model else ""
-            choice = self._placement.choose(
-                admitted.service, model, excluded=attempts.excluded_ids
-            )
+            choice = await self._choose(request, admitted, attempts)
             match choice:
                 case Forward(backend):
                     pass
-                case Full() | Limited() | Missing():
+                case Full() | Limited() | Missing() | Refused():
                     return outcome or choice
             if isinstance(await self._permits.acquire(backend), Denied):
                 continue
@@ -268,6 +271,20 @@
             if not self._can_try_another(request, admitted.route, attempts, outcome):
                 return outcome
 
+    async def _choose(self, request, admitted, attempts):
+        """Return the choice of a backend server, once the request may go on."""
+        model = request.needs.model if admitted.route.carries_model else ""
+        choose = partial(
+            self._placement.choose,
+            admitted.service,
+            model,
+            excluded=attempts.excluded_ids,
+        )
+        if attempts.claim is None:
+            return choose()
+        choice, attempts.urgency = await self._admission.place(attempts.claim, choose)
+        return choice
+
     def _may_send(self, backend):
         """Return whether ``backend`` still takes requests, after the request waited."""
         return self._pauses.is_current() and self._directory.takes_requests(backend)
@@ -319,6 +336,7 @@
             attempts.event_filter,
             partial(self._evidence.record_wishes, backend, load),
         )
+        expected_s = self._admission.expected_s(attempts.claim, backend)
         load.in_flight += 1
         exchange = asyncio.ensure_future(
             self._exchange(request, admitted, attempts, backend, deadline, receiver)
@@ -344,6 +362,10 @@
                 exchange.exception()
         if isinstance(outcome, NotSent | NotRun | Withheld):
             attempts.possible_runs -= 1
+        self._admission.record_end(attempts.claim)
+        if receiver.first_event_at is not None:
+            waited_s = receiver.first_event_at - began_at
+            self._admission.record_first_event(attempts.claim, expected_s, waited_s)
         if attempts.first_event_at is None:
             attempts.first_event_at = receiver.first_event_at
         evidence = self._evidence
@@ -360,6 +382,7 @@
             remaining_s=remaining_s,
             workspace=admitted.workspace,
             last_event_id=resume_after,
+            urgency=attempts.urgency,
         )
         try:
             await self._pool.exchange(
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -29,6 +29,7 @@
 TOKEN_COUNT = "X-Pimentogap-Token-Count"
 RETRY_AFTER = "Retry-After"
 LAST_EVENT = "Last-Event-Id"
+URGENCY = "X-Pimentogap-Urgency-Class"
 AUTHORIZATION = "Authorization"
 BEARER_PREFIX = "bearer "
 MS_PER_S = 1000
@@ -55,6 +56,7 @@
         DEADLINE,
         EXPECTED_BACKEND,
         LAST_EVENT,
+        URGENCY,
     )
 )
 DROPPED_FROM_ANSWER = frozenset(
@@ -105,13 +107,17 @@
             if name.lower() not in dropped
         ]
 
-    def attempt_headers(self, *, backend, remaining_s, workspace, last_event_id):
+    def attempt_headers(
+        self, *, backend, remaining_s, workspace, last_event_id, urgency=None
+    ):
         """Return the headers that the daemon adds to one attempt at ``backend``.
 
         :param remaining_s: seconds until the request's deadline.
         :param workspace: name of the caller's workspace, or ``None``.
         :param last_event_id: id of the last event that the caller received, or
             ``None``; a resumed stream starts after it.
+        :param urgency: the rank, 0 the first, in which the backend server admits
+            requests; ``None`` for its default.
         :return: pairs of name and value.
         """
         pairs = [
@@ -122,6 +128,8 @@
             pairs.append((WORKSPACE, workspace))
         if last_event_id is not None:
             pairs.append((LAST_EVENT, str(last_event_id)))
+        if urgency is not None:
+            pairs.append((URGENCY, str(urgency)))
         return pairs
 
     def decode_answer(self, status, headers):
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -9,6 +9,7 @@
 
 from logbook import Logger
 
+from pimentogap.admission import AdmissionService
 from pimentogap.alarms import AlarmService
 from pimentogap.calls import CallService
 from pimentogap.directory import (
@@ -135,6 +136,7 @@
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PermitService(),
         PlacementService(),
+        AdmissionService(settings),
         QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
