--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -4,15 +4,15 @@
 
 # Fraction of an objective that estimates may fill; the rest covers their errors and the
 # way between caller, daemon and backend server.
-USABLE_SHARE = 0.8
+USABLE_SHARE = 0.9
 # How long a request that can still be in time waits for a place, as a fraction of its
 # objective. Callers can ask elsewhere meanwhile.
 HOLD_SHARE = 0.125
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
 # time that it has left.
 LATE_HOLD_SHARE = 0.25
-# Fraction of a group's places that late requests leave to those in time.
-RESERVED_SHARE = 0.1
+# Fraction of all places that late requests leave to those in time.
+RESERVED_SHARE = 0.2
 FIRST_URGENCY = 1
 LAST_TIMELY_URGENCY = 6
 LATE_URGENCY = 9
@@ -45,12 +45,14 @@
 
     ``requests`` run or wait there, for ``slots`` places. The first event is expected in
     ``first_event_s`` seconds, and in ``unloaded_s`` if nobody else were there.
+    ``free_share`` is the fraction of the places of all backend servers that are free.
     """
 
     requests: float
     slots: int
     first_event_s: float
     unloaded_s: float
+    free_share: float = 1.0
 
 
 def decide(claim, prospect, now):
@@ -64,11 +66,11 @@
     left_s = claim.left_s(now)
     waited_s = now - claim.arrived_at
     if is_late(claim, prospect, now):
-        if prospect is not None and _has_free_place(prospect):
+        if _has_spare_place(claim, prospect):
             return Admit(LATE_URGENCY)
         hold_s = LATE_HOLD_SHARE * (claim.deadline - claim.arrived_at)
         return Hold(hold_s) if waited_s < hold_s else Turn("late")
-    if prospect is not None and prospect.first_event_s <= _room_s(claim, left_s):
+    if _fits(claim, prospect, left_s):
         urgency = FIRST_URGENCY + max(0, claim.priority)
         return Admit(min(LAST_TIMELY_URGENCY, urgency))
     hold_s = HOLD_SHARE * claim.objective_s
@@ -81,11 +83,19 @@
     return claim.left_s(now) < least_s
 
 
-def _has_free_place(prospect):
-    return prospect.requests < prospect.slots * (1 - RESERVED_SHARE)
+def _has_spare_place(claim, prospect):
+    """Tell whether a late ``claim`` takes a place that nobody else could use in time."""
+    return (
+        prospect is not None
+        and prospect.requests < prospect.slots
+        and prospect.free_share > RESERVED_SHARE
+        and prospect.first_event_s <= USABLE_SHARE * claim.tightest_s
+    )
 
 
-def _room_s(claim, left_s):
-    """Return the longest expected first event with which ``claim`` is let on."""
+def _fits(claim, prospect, left_s):
+    """Tell whether ``claim`` is in time, and so would be more urgent ones after it."""
+    if prospect is None:
+        return False
     own_s = left_s - (1 - USABLE_SHARE) * claim.objective_s
-    return min(own_s, USABLE_SHARE * claim.tightest_s)
+    return prospect.first_event_s <= min(own_s, USABLE_SHARE * claim.tightest_s)
--- a/pimentogap/admission/_service.py
+++ b/pimentogap/admission/_service.py
@@ -47,11 +47,17 @@
     """Lets requests on in the order that keeps most of them in time."""
 
     name = "admission"
-    requires = ("placement", "serving_configuration", "metrics")
+    requires = (
+        "placement",
+        "directory",
+        "serving_configuration",
+        "metrics",
+    )
     __slots__ = (
         "_shares_pools",
         "_kernel",
         "_placement",
+        "_directory",
         "_configuration",
         "_metrics",
         "_patience",
@@ -63,6 +69,7 @@
         self._shares_pools = settings.shares_pools
         self._kernel = None
         self._placement = None
+        self._directory = None
         self._configuration = None
         self._metrics = None
         self._patience = CallerPatience()
@@ -72,6 +79,7 @@
         """Look up the services."""
         self._kernel = kernel
         self._placement = kernel.get("placement")
+        self._directory = kernel.get("directory")
         self._configuration = kernel.get("serving_configuration")
         self._metrics = kernel.get("metrics")
 
@@ -127,7 +135,7 @@
             choice = choose()
             if isinstance(choice, Limited | Missing):
                 return choice, None
-            prospect = self._prospect(choice, pool, now)
+            prospect = self._prospect(claim, choice, pool, now)
             pool.line.mark_late(claim, is_late(claim, prospect, now))
             match decide(claim, prospect, now):
                 case Admit(urgency) if pool.line.first(now) is claim:
@@ -165,21 +173,32 @@
         if claim is not None:
             self._wake(self._pool(claim.service, claim.model))
 
-    def _prospect(self, choice, pool, now):
+    def _prospect(self, claim, choice, pool, now):
+        """Return the `Prospect` at the chosen backend server, ``None`` without one."""
         match choice:
             case Forward(backend):
                 load = self._placement.load(backend)
-                requests = load.expected_requests(now)
             case Full():
                 return None
-        ratio = pool.correction.ratio(now)
+        requests = load.expected_requests(now)
+        excess_s = pool.correction.excess_s(now)
         return Prospect(
             requests=requests,
             slots=load.slots,
-            first_event_s=ratio * pool.cost.first_event_s(requests),
+            first_event_s=pool.cost.first_event_s(requests) + excess_s,
             unloaded_s=pool.cost.first_event_s(0),
+            free_share=self._free_share(claim, now),
         )
 
+    def _free_share(self, claim, now):
+        """Return the fraction of the places of all backend servers that are free."""
+        loads = [
+            self._placement.load(backend)
+            for backend in self._directory.heads(claim.service, claim.model)
+        ]
+        free = sum(max(0.0, load.slots - load.expected_requests(now)) for load in loads)
+        return free / max(1, sum(load.slots for load in loads))
+
     def _pool(self, service, model):
         pool = self._pools_by_key.get((service, model))
         if pool is None:
@@ -226,7 +245,7 @@
             "refused for room",
             cause=cause,
             waiting=len(pool.line),
-            correction=round(pool.correction.ratio(now), 2),
+            excess_ms=round(pool.correction.excess_s(now) * 1000),
             **_numbers(claim, prospect, now),
         )
 
@@ -243,4 +262,5 @@
         "expected_ms": prospect and round(prospect.first_event_s * 1000),
         "requests": prospect and round(prospect.requests, 1),
         "slots": prospect and prospect.slots,
+        "free": prospect and round(prospect.free_share, 2),
     }
--- a/pimentogap/costs/_correction.py
+++ b/pimentogap/costs/_correction.py
@@ -1,33 +1,38 @@
 """Corrects estimated times by those that were observed."""
 
 SAMPLE_WEIGHT = 0.2
-# An observation beyond these is bounded, so that one stalled answer closes no group.
-LEAST_RATIO = 0.5
-GREATEST_RATIO = 4.0
-# Without samples the ratio returns to 1 by half in this time, so that a model that got
+# Observations beyond these are bounded, so that one stalled answer closes no group.
+LEAST_EXCESS_S = -0.5
+GREATEST_EXCESS_S = 1.0
+# Without samples the correction vanishes by half in this time, so that a model that got
 # no requests is tried again.
 HALF_LIFE_S = 2.0
 
 
 class Correction:
-    """The smoothed ratio of observed to estimated times of one model."""
+    """The smoothed excess of observed over estimated times of one model.
 
-    __slots__ = ("_ratio", "_sampled_at")
+    It holds what the cost model leaves out: the way to the group and back, and work of
+    other daemons that is not known yet. Times are in seconds.
+    """
+
+    __slots__ = ("_excess_s", "_sampled_at")
 
     def __init__(self):
-        self._ratio = 1.0
+        self._excess_s = 0.0
         self._sampled_at = 0.0
 
     def record(self, observed_s, estimated_s, now):
         """Add an observation at ``now``, in seconds of the runtime's clock."""
-        if not estimated_s > 0 or not observed_s >= 0:
-            return
-        sample = min(GREATEST_RATIO, max(LEAST_RATIO, observed_s / estimated_s))
-        ratio = self.ratio(now)
-        self._ratio = ratio + SAMPLE_WEIGHT * (sample - ratio)
+        sample_s = observed_s - estimated_s
+        # Not a number compares as false.
+        if not LEAST_EXCESS_S <= sample_s <= GREATEST_EXCESS_S:
+            sample_s = GREATEST_EXCESS_S if sample_s > 0 else LEAST_EXCESS_S
+        excess_s = self.excess_s(now)
+        self._excess_s = excess_s + SAMPLE_WEIGHT * (sample_s - excess_s)
         self._sampled_at = now
 
-    def ratio(self, now):
-        """Return the factor by which estimates are multiplied."""
+    def excess_s(self, now):
+        """Return the seconds to add to an estimate."""
         age_s = max(0.0, now - self._sampled_at)
-        return 1.0 + (self._ratio - 1.0) * 0.5 ** (age_s / HALF_LIFE_S)
+        return self._excess_s * 0.5 ** (age_s / HALF_LIFE_S)
--- a/pimentogap/costs/_group.py
+++ b/pimentogap/costs/_group.py
@@ -11,6 +11,8 @@
 DEFAULT_ANSWER_TOKENS = 128.0
 # An arrival finds a pass half done on average.
 RESIDUAL_PASS_SHARE = 0.5
+# The prompt is read in one pass, the first event is written in the next.
+READ_AND_WRITE_PASSES = 2
 
 
 class GroupCost:
@@ -96,5 +98,5 @@
             + RESIDUAL_PASS_SHARE * pass_s
             + own_read_s
             + others_s
-            + pass_s
+            + READ_AND_WRITE_PASSES * pass_s
         )
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -196,7 +196,7 @@
             services_by_name={SERVICE: ServiceSpec(name=SERVICE, engine=engine)},
             limits=CallerLimits(),
         )
-        for index in range(self._daemon_count):
+        for _ in range(self._daemon_count):
             kernel = Kernel(seed=self.random.random())
             for service in (
                 MetricService(),
