Exchange requests at work between daemons and spread by them

With 74 or 118 daemons each saw a hundredth of the traffic, so that model replicas rejected a fifth of what reached them beside idle ones. Where daemons share pools of backend servers, each tells a relay its requests at work each 200 ms and hears the sum of the others; choices carry these counts on to the present (Dahlin 1999), and a group gets at most as many requests as it has slots.

--- a/pimentogap/errors.py
+++ b/pimentogap/errors.py
@@ -44,6 +44,10 @@
     """The watch history no longer reaches back to the requested revision."""
 
 
+class InvalidStatement(PimentogapError):
+    """What another daemon states of its requests cannot be used."""
+
+
 class ConnectionFailed(PimentogapError):
     """No connection was made, so no part of the request was sent."""
 
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -2,6 +2,11 @@
 
 import math
 
+# Requests per slot, running and queued, from which a backend server counts as full if
+# nothing is known of its pace.
+MAX_REQUESTS_PER_SLOT = 2.0
+# What other daemons stated of their requests goes before load reports for this long.
+OTHERS_LIFETIME_S = 1.5
 # Half-life of the weight of a load report; about the time that a stream runs.
 REPORT_HALF_LIFE_S = 1.5
 # How long a backend server is left out after a first failure to answer. The time
@@ -17,13 +22,17 @@
     """Requests in flight, the last load report, and suspicion of a failure.
 
     Times are in seconds of the runtime's clock; ``slots`` is how many requests the
-    backend server runs at once.
+    backend server runs at once, and ``limit`` how many of all daemons it may have.
+    ``others`` is what the other daemons last stated of theirs.
     """
 
     __slots__ = (
         "backend_id",
         "slots",
+        "limit",
         "in_flight",
+        "others",
+        "_others_known_at",
         "_reported_requests",
         "_reported_at",
         "_in_flight_at_report",
@@ -33,10 +42,13 @@
         "_quiet_until",
     )
 
-    def __init__(self, backend_id, slots):
+    def __init__(self, backend_id, slots, *, limit=None):
         self.backend_id = backend_id
         self.slots = slots
+        self.limit = MAX_REQUESTS_PER_SLOT * slots if limit is None else limit
         self.in_flight = 0
+        self.others = 0
+        self._others_known_at = -math.inf
         self._reported_requests = 0
         self._reported_at = -math.inf
         self._in_flight_at_report = 0
@@ -53,6 +65,11 @@
         """Return the seconds until it takes requests, as far as it has said."""
         return max(0.0, self._quiet_until - now)
 
+    def record_others(self, at_work, known_at):
+        """Record the requests that all other daemons have there, as they stated."""
+        self.others = at_work
+        self._others_known_at = known_at
+
     def record_report(self, load, now):
         """Record the `EngineLoad` that came with an answer."""
         self._reported_requests = load.running + load.waiting
@@ -86,14 +103,21 @@
     def expected_requests(self, now):
         """Return the estimated number of requests that run or wait there.
 
-        These are the own requests in flight, and those of other daemons that the
-        last report showed, whose weight decays with the age of the report.
+        These are the own requests in flight, and those that the other daemons stated.
+        Without a statement they are those that the last report showed, whose weight
+        decays with the age of the report.
         """
+        if now - self._others_known_at <= OTHERS_LIFETIME_S:
+            return self.in_flight + self.others
         others = max(0, self._reported_requests - self._in_flight_at_report)
         if others:
             others *= 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_S)
         return self.in_flight + others
 
+    def free_room(self, now):
+        """Return how many more requests it may have."""
+        return self.limit - self.expected_requests(now)
+
     def requests_per_slot(self, now):
         """Return the estimated number of requests per slot."""
         return self.expected_requests(now) / self.slots
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -1,18 +1,24 @@
 """The service that chooses backend servers."""
 
+import math
 from dataclasses import dataclass
 
 from logbook import Logger
 
 from pimentogap.kernel import RestartOnError
+from pimentogap.occupancy import Counts, Others
+from pimentogap.placement._choice import choose_by_room
+from pimentogap.placement._flow import ModelFlow
 from pimentogap.placement._latency import ModelLatency
-from pimentogap.placement._loads import BackendLoad
+from pimentogap.placement._loads import (
+    MAX_REQUESTS_PER_SLOT,
+    OTHERS_LIFETIME_S,
+    BackendLoad,
+)
 from pimentogap.types import Backend
 
 log = Logger("placement")
 
-# Requests per slot, running and queued, from which a backend server counts as full.
-MAX_REQUESTS_PER_SLOT = 2.0
 # Backend servers whose estimated load exceeds the least by at most this many
 # requests count as equally loaded.
 EQUAL_LOAD_REQUESTS = 0.75
@@ -52,7 +58,7 @@
     """Chooses among the least loaded backend servers, by estimates of their load."""
 
     name = "placement"
-    requires = ("directory", "serving_configuration", "permits")
+    requires = ("directory", "serving_configuration", "permits", "occupancy")
     __slots__ = (
         "_kernel",
         "_directory",
@@ -60,9 +66,22 @@
         "_configuration",
         "loads_by_key",
         "_latencies_by_model",
+        "_shares_pools",
+        "_flows_by_model",
+        "_others",
+        "_others_known_at",
     )
 
-    def __init__(self):
+    def __init__(self, *, shares_pools=False):
+        """Create the service.
+
+        :param shares_pools: whether many daemons share pools of backend servers, so
+            that each goes by what all others state of their requests.
+        """
+        self._shares_pools = shares_pools
+        self._flows_by_model = {}
+        self._others = Others(Counts(), 0.0)
+        self._others_known_at = -math.inf
         self._kernel = None
         self._directory = None
         self._permits = None
@@ -76,6 +95,8 @@
         self._directory = kernel.get("directory")
         self._permits = kernel.get("permits")
         self._configuration = kernel.get("serving_configuration")
+        if self._shares_pools:
+            kernel.get("occupancy").attach(self._tell, self._hear)
         kernel.spawn(self.name, self._prune_unlisted, on_error=RestartOnError())
 
     async def stop(self):
@@ -86,9 +107,63 @@
         key = _load_key(backend)
         load = self.loads_by_key.get(key)
         if load is None:
-            load = self.loads_by_key[key] = BackendLoad(backend.id, backend.slots)
+            load = self.loads_by_key[key] = self._new_load(key, backend)
         return load
 
+    def _new_load(self, key, backend):
+        if not self._shares_pools:
+            return BackendLoad(backend.id, backend.slots)
+        limit = backend.slots if backend.membership is not None else None
+        load = BackendLoad(backend.id, backend.slots, limit=limit)
+        at_work = self._others.counts.at_work_by_key.get(_key_text(key), 0)
+        load.record_others(at_work, self._others_known_at)
+        return load
+
+    def _tell(self):
+        """Return what this daemon states of its requests, as `Counts`."""
+        now = self._kernel.clock.time()
+        at_work_by_key = {
+            _key_text(key): load.in_flight
+            for key, load in self.loads_by_key.items()
+            if load.in_flight
+        }
+        counts_by_model = {
+            _key_text(key): flow.counts(now)
+            for key, flow in self._flows_by_model.items()
+        }
+        flows = {
+            model: counts for model, counts in counts_by_model.items() if any(counts)
+        }
+        return Counts(at_work_by_key, flows, 1)
+
+    def _hear(self, others):
+        """Take over what all other daemons state of their requests."""
+        now = self._kernel.clock.time()
+        self._others = others
+        self._others_known_at = now
+        for key, load in self.loads_by_key.items():
+            at_work = others.counts.at_work_by_key.get(_key_text(key), 0)
+            load.record_others(at_work, now)
+        for key, flow in self._flows_by_model.items():
+            counts = others.counts.flows_by_model.get(_key_text(key), (0, 0))
+            at_work = sum(
+                self.load(item).expected_requests(now) for item in self._listed(*key)
+            )
+            flow.record_others(counts, at_work, now)
+
+    def _flow(self, service, model):
+        key = (service, model)
+        flow = self._flows_by_model.get(key)
+        if flow is None:
+            flow = self._flows_by_model[key] = ModelFlow()
+        return flow
+
+    def _listed(self, service, model):
+        """Return the backend servers that may get requests for a model."""
+        if model:
+            return self._directory.heads(service, model)
+        return self._directory.backends(service)
+
     def latency(self, service, model):
         """Return the `ModelLatency` of a model of ``service``."""
         key = (service, model)
@@ -105,13 +180,9 @@
         :param excluded: ids of backend servers that had an attempt of this request.
         :param allow_limited: whether a backend server that names a limit may be chosen.
         """
-        if model:
-            candidates = self._directory.heads(service, model)
-        else:
-            candidates = self._directory.backends(service)
         candidates = [
             item
-            for item in candidates
+            for item in self._listed(service, model)
             if item.id not in excluded
             and (allow_limited or not self._permits.is_limited(item))
         ]
@@ -129,7 +200,17 @@
         unsuspected = [
             item for item in candidates if not self.load(item).is_suspect(now)
         ]
-        return self._choose_least_loaded(unsuspected or candidates, now)
+        candidates = unsuspected or candidates
+        if not self._shares_pools:
+            return self._choose_least_loaded(candidates, now)
+        if not allow_limited:
+            return self._choose_by_room(candidates, self._flow(service, model), now)
+        flow = self._flow(service, model)
+        flow.asked.record(now)
+        choice = self._choose_by_room(candidates, flow, now)
+        if isinstance(choice, Forward):
+            flow.sent.record(now)
+        return choice
 
     def _wait_s(self, backend, now):
         """Return the seconds for which ``backend`` takes no request, as it has said."""
@@ -149,6 +230,16 @@
         ]
         return Forward(self._kernel.random.choice(equally_loaded))
 
+    def _choose_by_room(self, candidates, flow, now):
+        loads = [self.load(item) for item in candidates]
+        age_s = now - self._others_known_at
+        is_known = age_s <= OTHERS_LIFETIME_S
+        age_s = age_s + self._others.age_s if is_known else None
+        index = choose_by_room(loads, flow, age_s, now, self._kernel.random)
+        if index is None:
+            return Full(min(load.requests_per_slot(now) for load in loads))
+        return Forward(candidates[index])
+
     async def _prune_unlisted(self):
         while True:
             await self._kernel.clock.sleep(PRUNE_INTERVAL_S)
@@ -172,6 +263,13 @@
         }
         for key in self._latencies_by_model.keys() - known:
             del self._latencies_by_model[key]
+        plain = {(name, "") for name in services}
+        for key in self._flows_by_model.keys() - known - plain:
+            del self._flows_by_model[key]
+
+
+def _key_text(key):
+    return ".".join(map(str, key))
 
 
 def _load_key(backend):
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -24,6 +24,7 @@
 from pimentogap.kernel import Kernel
 from pimentogap.logs import install_decision_log
 from pimentogap.metrics import LoopHolds, MetricService, measured_event_loop
+from pimentogap.occupancy import OccupancyService
 from pimentogap.pauses import PauseService
 from pimentogap.peers.grpc import GrpcTransport
 from pimentogap.permits import PermitService
@@ -134,7 +135,8 @@
         RelayService(first_start=settings.first_start),
         PauseService((CONFIGURATION_COLLECTION, BACKEND_COLLECTION)),
         PermitService(),
-        PlacementService(),
+        OccupancyService(settings.id, enabled=settings.shares_pools),
+        PlacementService(shares_pools=settings.shares_pools),
         QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
--- a/standins/emulator/__init__.py
+++ b/standins/emulator/__init__.py
@@ -8,7 +8,7 @@
     settings_document,
 )
 from standins.emulator._fleet import EmulatedFleet, Request
-from standins.emulator._network import EmulatedNetwork
+from standins.emulator._network import EmulatedNetwork, LocalCallTransport
 from standins.emulator._plain import PlainReplica
 from standins.emulator._records import Records
 from standins.emulator._replicas import ModelReplica
@@ -19,6 +19,7 @@
     "PLAIN_SERVICE",
     "EmulatedFleet",
     "EmulatedNetwork",
+    "LocalCallTransport",
     "ModelReplica",
     "ObjectStore",
     "PlainReplica",
