--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -41,61 +41,49 @@
 
 @dataclass(frozen=True, slots=True)
 class Prospect:
-    """What the best backend server offers a request.
+    """What one backend server offers: a first event in ``first_event_s`` seconds.
 
-    ``requests`` run or wait there, for ``slots`` places. The first event is expected in
-    ``first_event_s`` seconds, and in ``unloaded_s`` if nobody else were there.
-    ``free_share`` is the fraction of the places of all backend servers that are free.
+    ``requests`` run or wait there, for ``slots`` places.
     """
 
     requests: float
     slots: int
     first_event_s: float
-    unloaded_s: float
-    free_share: float = 1.0
 
 
-def decide(claim, prospect, now):
+def spare_places(free, places):
+    """Return how many of the ``free`` among all ``places`` late requests may take."""
+    return free - RESERVED_SHARE * places
+
+
+def decide(claim, prospect, now, *, late):
     """Return `Admit`, `Hold` or `Turn` for ``claim``.
 
     :param claim: the `Claim`.
-    :param prospect: the `Prospect` at the best backend server, or ``None`` if none
-        takes another request.
+    :param prospect: the `Prospect` at the backend server chosen for it, or ``None`` if
+        there is none.
     :param now: seconds of the runtime's clock.
+    :param late: whether the claim cannot be in time any more.
     """
-    left_s = claim.left_s(now)
     waited_s = now - claim.arrived_at
-    if is_late(claim, prospect, now):
-        if _has_spare_place(claim, prospect):
+    if late:
+        if prospect is not None and prospect.first_event_s <= _usable_s(claim):
             return Admit(LATE_URGENCY)
         hold_s = LATE_HOLD_SHARE * (claim.deadline - claim.arrived_at)
         return Hold(hold_s) if waited_s < hold_s else Turn("late")
-    if _fits(claim, prospect, left_s):
+    if prospect is not None and prospect.first_event_s <= _room_s(claim, now):
         urgency = FIRST_URGENCY + max(0, claim.priority)
         return Admit(min(LAST_TIMELY_URGENCY, urgency))
     hold_s = HOLD_SHARE * claim.objective_s
     return Hold(hold_s) if waited_s < hold_s else Turn("full")
 
 
-def is_late(claim, prospect, now):
-    """Tell whether ``claim`` cannot be in time, even if nobody else were there."""
-    least_s = prospect.unloaded_s if prospect is not None else 0.0
-    return claim.left_s(now) < least_s
-
-
-def _has_spare_place(claim, prospect):
-    """Tell whether a late ``claim`` takes a place that nobody else could use in time."""
-    return (
-        prospect is not None
-        and prospect.requests < prospect.slots
-        and prospect.free_share > RESERVED_SHARE
-        and prospect.first_event_s <= USABLE_SHARE * claim.tightest_s
-    )
+def _usable_s(claim):
+    """Return the longest expected first event that keeps more urgent ones in time."""
+    return USABLE_SHARE * claim.tightest_s
 
 
-def _fits(claim, prospect, left_s):
-    """Tell whether ``claim`` is in time, and so would be more urgent ones after it."""
-    if prospect is None:
-        return False
-    own_s = left_s - (1 - USABLE_SHARE) * claim.objective_s
-    return prospect.first_event_s <= min(own_s, USABLE_SHARE * claim.tightest_s)
+def _room_s(claim, now):
+    """Return the longest expected first event with which ``claim`` is let on."""
+    own_s = claim.left_s(now) - (1 - USABLE_SHARE) * claim.objective_s
+    return min(own_s, _usable_s(claim))
--- a/pimentogap/admission/_service.py
+++ b/pimentogap/admission/_service.py
@@ -7,8 +7,16 @@
 
 from pimentogap.admission._callers import CallerPatience
 from pimentogap.admission._claim import Claim, tightest_objective_s
-from pimentogap.admission._decide import Admit, Hold, Prospect, Turn, decide, is_late
+from pimentogap.admission._decide import (
+    Admit,
+    Hold,
+    Prospect,
+    Turn,
+    decide,
+    spare_places,
+)
 from pimentogap.admission._line import LineFull, WaitingLine
+from pimentogap.admission._share import SpareShare
 from pimentogap.costs import Correction, GroupCost
 from pimentogap.metrics import Series
 from pimentogap.placement import Forward, Full, Limited, Missing
@@ -33,13 +41,14 @@
     ``changed`` is done when a place may have come free.
     """
 
-    __slots__ = ("cost", "configured_for", "correction", "line", "changed")
+    __slots__ = ("cost", "configured_for", "correction", "line", "spare", "changed")
 
     def __init__(self):
         self.cost = None
         self.configured_for = None
         self.correction = Correction()
         self.line = WaitingLine(MAX_WAITING)
+        self.spare = SpareShare()
         self.changed = asyncio.get_running_loop().create_future()
 
 
@@ -58,6 +67,7 @@
         "_kernel",
         "_placement",
         "_directory",
+        "_daemons",
         "_configuration",
         "_metrics",
         "_patience",
@@ -70,6 +80,7 @@
         self._kernel = None
         self._placement = None
         self._directory = None
+        self._daemons = None
         self._configuration = None
         self._metrics = None
         self._patience = CallerPatience()
@@ -80,6 +91,7 @@
         self._kernel = kernel
         self._placement = kernel.get("placement")
         self._directory = kernel.get("directory")
+        self._daemons = kernel.get("daemons")
         self._configuration = kernel.get("serving_configuration")
         self._metrics = kernel.get("metrics")
 
@@ -120,7 +132,7 @@
         try:
             pool.line.join(claim, late=claim.left_s(self._kernel.clock.time()) <= 0)
         except LineFull:
-            self._refuse(claim, pool, "line_full", None)
+            self._refuse(claim, pool, "line_full")
             return Refused("line_full"), None
         try:
             return await self._wait_in_line(claim, pool, choose)
@@ -132,26 +144,37 @@
         clock = self._kernel.clock
         while True:
             now = clock.time()
-            choice = choose()
-            if isinstance(choice, Limited | Missing):
-                return choice, None
-            prospect = self._prospect(claim, choice, pool, now)
-            pool.line.mark_late(claim, is_late(claim, prospect, now))
-            match decide(claim, prospect, now):
-                case Admit(urgency) if pool.line.first(now) is claim:
+            late = claim.left_s(now) < pool.cost.first_event_s(0)
+            pool.line.mark_late(claim, late)
+            choice = prospect = None
+            if self._may_ask(claim, pool, now, late=late):
+                choice = choose()
+                if isinstance(choice, Limited | Missing):
+                    return choice, None
+                prospect = self._prospect(choice, pool, now)
+            match decide(claim, prospect, now, late=late):
+                case Admit(urgency):
                     pool.line.record_admission(claim, now)
-                    self._record_wait(claim, prospect, now)
+                    if late:
+                        pool.spare.take()
+                    self._record_wait(claim, pool, prospect)
                     return choice, urgency
                 case Turn(cause):
                     self._refuse(claim, pool, cause, prospect)
                     return Refused(cause), None
                 case Hold(for_s):
-                    wake_in_s = claim.arrived_at + for_s - now
-                case _:
-                    wake_in_s = CHECK_INTERVAL_S
-            await asyncio.wait(
-                {pool.changed}, timeout=max(0.0, min(CHECK_INTERVAL_S, wake_in_s))
-            )
+                    wake_in_s = min(CHECK_INTERVAL_S, claim.arrived_at + for_s - now)
+            await asyncio.wait({pool.changed}, timeout=max(0.0, wake_in_s))
+
+    def _may_ask(self, claim, pool, now, *, late):
+        """Tell whether ``claim`` is first in line, and may ask if it is late."""
+        if pool.line.first(now) is not claim:
+            return False
+        if not late:
+            return True
+        spare = self._spare_places(claim, now)
+        pool.spare.fill(spare, self._daemons.count, now)
+        return spare > 0 and pool.spare.has_place
 
     def expected_s(self, claim, backend):
         """Return the uncorrected time to a first event at ``backend``, 0 if unknown."""
@@ -173,31 +196,26 @@
         if claim is not None:
             self._wake(self._pool(claim.service, claim.model))
 
-    def _prospect(self, claim, choice, pool, now):
+    def _prospect(self, choice, pool, now):
         """Return the `Prospect` at the chosen backend server, ``None`` without one."""
         match choice:
             case Forward(backend):
                 load = self._placement.load(backend)
+                requests = load.expected_requests(now)
+                excess_s = pool.correction.excess_s(now)
+                first_event_s = pool.cost.first_event_s(requests) + excess_s
+                return Prospect(requests, load.slots, first_event_s)
             case Full():
                 return None
-        requests = load.expected_requests(now)
-        excess_s = pool.correction.excess_s(now)
-        return Prospect(
-            requests=requests,
-            slots=load.slots,
-            first_event_s=pool.cost.first_event_s(requests) + excess_s,
-            unloaded_s=pool.cost.first_event_s(0),
-            free_share=self._free_share(claim, now),
-        )
 
-    def _free_share(self, claim, now):
-        """Return the fraction of the places of all backend servers that are free."""
+    def _spare_places(self, claim, now):
+        """Return how many places of all backend servers late requests may take."""
         loads = [
             self._placement.load(backend)
             for backend in self._directory.heads(claim.service, claim.model)
         ]
         free = sum(max(0.0, load.slots - load.expected_requests(now)) for load in loads)
-        return free / max(1, sum(load.slots for load in loads))
+        return spare_places(free, sum(load.slots for load in loads))
 
     def _pool(self, service, model):
         pool = self._pools_by_key.get((service, model))
@@ -229,38 +247,36 @@
             pool.changed.set_result(None)
         pool.changed = asyncio.get_running_loop().create_future()
 
-    def _record_wait(self, claim, prospect, now):
-        waited_s = now - claim.arrived_at
+    def _record_wait(self, claim, pool, prospect):
+        waited_s = self._kernel.clock.time() - claim.arrived_at
         if waited_s < CHECK_INTERVAL_S / 2:
             return
         series = Series("admission_wait", claim.service, "-", "", claim.model)
         self._metrics.record_duration(series, waited_s)
-        log.info("waited for a place", **_numbers(claim, prospect, now))
+        numbers = self._numbers(claim, pool, prospect)
+        log.info("waited for a place", **numbers)
 
-    def _refuse(self, claim, pool, cause, prospect):
-        now = self._kernel.clock.time()
+    def _refuse(self, claim, pool, cause, prospect=None):
         series = Series("refused_for_room", claim.service, "-", cause, claim.model)
         self._metrics.count(series)
-        log.info(
-            "refused for room",
-            cause=cause,
-            waiting=len(pool.line),
-            excess_ms=round(pool.correction.excess_s(now) * 1000),
-            **_numbers(claim, prospect, now),
-        )
-
+        numbers = self._numbers(claim, pool, prospect)
+        log.info("refused for room", cause=cause, **numbers)
 
-def _numbers(claim, prospect, now):
-    """Return the numbers that decided, for a log line."""
-    return {
-        "id": claim.attempt_id,
-        "model": claim.model,
-        "priority": claim.priority,
-        "objective_ms": round(claim.objective_s * 1000),
-        "age_ms": round((claim.elapsed_s + now - claim.arrived_at) * 1000),
-        "held_ms": round((now - claim.arrived_at) * 1000),
-        "expected_ms": prospect and round(prospect.first_event_s * 1000),
-        "requests": prospect and round(prospect.requests, 1),
-        "slots": prospect and prospect.slots,
-        "free": prospect and round(prospect.free_share, 2),
-    }
+    def _numbers(self, claim, pool, prospect):
+        """Return the numbers that decided, for a log line."""
+        now = self._kernel.clock.time()
+        held_s = now - claim.arrived_at
+        return {
+            "id": claim.attempt_id,
+            "model": claim.model,
+            "priority": claim.priority,
+            "objective_ms": round(claim.objective_s * 1000),
+            "age_ms": round((claim.elapsed_s + held_s) * 1000),
+            "held_ms": round(held_s * 1000),
+            "waiting": len(pool.line),
+            "spare": round(self._spare_places(claim, now), 1),
+            "excess_ms": round(pool.correction.excess_s(now) * 1000),
+            "expected_ms": prospect and round(prospect.first_event_s * 1000),
+            "requests": prospect and round(prospect.requests, 1),
+            "slots": prospect and prospect.slots,
+        }
--- a/pimentogap/costs/_correction.py
+++ b/pimentogap/costs/_correction.py
@@ -1,12 +1,12 @@
 """Corrects estimated times by those that were observed."""
 
-SAMPLE_WEIGHT = 0.2
+SAMPLE_WEIGHT = 0.05
 # Observations beyond these are bounded, so that one stalled answer closes no group.
-LEAST_EXCESS_S = -0.5
-GREATEST_EXCESS_S = 1.0
+LEAST_EXCESS_S = -0.1
+GREATEST_EXCESS_S = 0.2
 # Without samples the correction vanishes by half in this time, so that a model that got
 # no requests is tried again.
-HALF_LIFE_S = 2.0
+HALF_LIFE_S = 4.0
 
 
 class Correction:
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -10,6 +10,7 @@
 from pimentogap.forwarding._routes import Admitted
 from pimentogap.kernel import Kernel
 from pimentogap.metrics import MetricService
+from pimentogap.occupancy import Counts, Others
 from pimentogap.placement import Forward, PlacementService
 from pimentogap.types import (
     Backend,
@@ -41,6 +42,7 @@
 QUEUE_LENGTH = 24
 GIVE_UP_S = 2.0
 RETRIES_AT_FULL = 2
+STATEMENT_INTERVAL_S = 0.3
 
 
 class Work:
@@ -155,6 +157,38 @@
         pass
 
 
+class Board:
+    """The statements that daemons make of their requests, and read of all others."""
+
+    __slots__ = ("_statements_by_daemon", "_random")
+
+    def __init__(self, rng):
+        self._statements_by_daemon = {}
+        self._random = rng
+
+    async def exchange(self, daemon, tell, hear):
+        """Make the statements of ``daemon``, and pass on those of all others."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(STATEMENT_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            hear(self._others(daemon, loop.time()))
+            self._statements_by_daemon[daemon] = (tell(), loop.time())
+
+    def _others(self, daemon, now):
+        at_work_by_key, flows_by_model, ages_s = {}, {}, [0.0]
+        for other, (counts, stated_at) in self._statements_by_daemon.items():
+            if other == daemon:
+                continue
+            ages_s.append(now - stated_at)
+            for key, count in counts.at_work_by_key.items():
+                at_work_by_key[key] = at_work_by_key.get(key, 0) + count
+            for key, flow in counts.flows_by_model.items():
+                asked, sent = flows_by_model.get(key, (0, 0))
+                flows_by_model[key] = (asked + flow[0], sent + flow[1])
+        counts = Counts(at_work_by_key, flows_by_model, len(ages_s) - 1)
+        return Others(counts, sum(ages_s) / len(ages_s))
+
+
 class BatchingPool:
     """Groups of one model behind daemons that share them; ``callers`` has all requests.
 
@@ -196,14 +230,22 @@
             services_by_name={SERVICE: ServiceSpec(name=SERVICE, engine=engine)},
             limits=CallerLimits(),
         )
-        for _ in range(self._daemon_count):
+        board = Board(self.random)
+        for daemon in range(self._daemon_count):
             kernel = Kernel(seed=self.random.random())
+
+            def attach(tell, hear, daemon=daemon):
+                exchange = board.exchange(daemon, tell, hear)
+                self._tasks.append(asyncio.ensure_future(exchange))
+
             for service in (
                 MetricService(),
+                _Stub("occupancy", attach=attach),
                 _Stub("directory", heads=lambda *_: backends, backends_by_id={}),
+                _Stub("daemons", count=self._daemon_count),
                 _Stub("permits", next_in_s=lambda _: 0.0, is_limited=lambda _: False),
                 _Stub("serving_configuration", current=configuration),
-                PlacementService(),
+                PlacementService(shares_pools=self.governed),
                 AdmissionService(SimpleNamespace(shares_pools=True)),
             ):
                 kernel.register(service)
