--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -5,8 +5,8 @@
 # Fraction of an objective that estimates may fill; the rest covers their errors and the
 # way between caller, daemon and backend server.
 USABLE_SHARE = 0.9
-# How long a request that can still be in time waits for a place, as a fraction of its
-# objective. Callers can ask elsewhere meanwhile.
+# How long a request that can still be in time waits for a place, as a fraction of the
+# tightest objective: with a looser one it would have more chances than those before it.
 HOLD_SHARE = 0.125
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
 # time that it has left.
@@ -74,7 +74,7 @@
     if prospect is not None and prospect.first_event_s <= _room_s(claim, now):
         urgency = FIRST_URGENCY + max(0, claim.priority)
         return Admit(min(LAST_TIMELY_URGENCY, urgency))
-    hold_s = HOLD_SHARE * claim.objective_s
+    hold_s = HOLD_SHARE * claim.tightest_s
     return Hold(hold_s) if waited_s < hold_s else Turn("full")
 
 
--- a/pimentogap/costs/_group.py
+++ b/pimentogap/costs/_group.py
@@ -6,9 +6,12 @@
 "Taming Throughput-Latency Tradeoff in LLM Inference with Sarathi-Serve", OSDI 2024.
 """
 
+import math
+
 # Used where the configuration does not name the mean request.
 DEFAULT_PROMPT_TOKENS = 512.0
 DEFAULT_ANSWER_TOKENS = 128.0
+MIN_STEP_S = 1e-4
 # An arrival finds a pass half done on average.
 RESIDUAL_PASS_SHARE = 0.5
 # The prompt is read in one pass, the first event is written in the next.
@@ -39,9 +42,13 @@
         """
         self.slots = max(1, slots)
         self._timings = timings
-        self._pace = pace if pace > 0 else 1.0
-        self._prompt_tokens = timings.usual_prompt_tokens or DEFAULT_PROMPT_TOKENS
-        self._answer_tokens = timings.usual_answer_tokens or DEFAULT_ANSWER_TOKENS
+        self._pace = _positive(pace, 1.0)
+        self._prompt_tokens = _positive(
+            timings.usual_prompt_tokens, DEFAULT_PROMPT_TOKENS
+        )
+        self._answer_tokens = _positive(
+            timings.usual_answer_tokens, DEFAULT_ANSWER_TOKENS
+        )
         self._read_s = self.read_s(self._prompt_tokens)
 
     def read_s(self, prompt_tokens):
@@ -52,15 +59,19 @@
         pairs = prompt_tokens * prompt_tokens / 2
         return self._pace * (
             prompt_tokens / timings.prompt_tokens_per_s
-            + pairs * timings.attention_pair_s
+            + pairs * max(0.0, timings.attention_pair_s)
         )
 
     def step_s(self, running):
         """Return the time in which each of ``running`` requests gets a token."""
         timings = self._timings
         context = self._prompt_tokens + self._answer_tokens / 2
-        per_request_s = timings.per_sequence_s + timings.per_context_token_s * context
-        return self._pace * (timings.step_s + running * per_request_s)
+        per_request_s = (
+            max(0.0, timings.per_sequence_s)
+            + max(0.0, timings.per_context_token_s) * context
+        )
+        step_s = _positive(timings.step_s, MIN_STEP_S)
+        return self._pace * (step_s + running * per_request_s)
 
     def pass_s(self, running):
         """Return the time of a pass, without prompts that are read in it."""
@@ -100,3 +111,8 @@
             + others_s
             + READ_AND_WRITE_PASSES * pass_s
         )
+
+
+def _positive(value, default):
+    """Return ``value``, or ``default`` if it is no positive number."""
+    return value if 0 < value < math.inf else default
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -62,9 +62,10 @@
 class BatchingGroup:
     """Runs up to `SLOTS` requests in passes of some steps, and queues others."""
 
-    __slots__ = ("running", "waiting", "_work_came")
+    __slots__ = ("running", "waiting", "still_until", "_work_came")
 
     def __init__(self):
+        self.still_until = 0.0
         self.running = []
         self.waiting = []
         self._work_came = asyncio.Event()
@@ -93,6 +94,8 @@
             while not self.running and not self.waiting:
                 self._work_came.clear()
                 await self._work_came.wait()
+            still_s = self.still_until - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(0.0, still_s))
             await asyncio.sleep(self._begin_pass())
             for work in list(self.running):
                 work.tokens_left -= TIMINGS.stride
@@ -192,14 +195,16 @@
 class BatchingPool:
     """Groups of one model behind daemons that share them; ``callers`` has all requests.
 
-    ``governed`` says whether the daemons admit by the cost of the groups.
+    ``governed`` says whether the daemons admit by the cost of the groups. Callers
+    who are refused repeat ``repeats`` times at once, and once when they are told to.
     """
 
-    def __init__(self, *, groups, daemons, routes, seed=1, governed=True):
+    def __init__(self, *, groups, daemons, routes, seed=1, governed=True, repeats=0):
         self.groups = [BatchingGroup() for _ in range(groups)]
         self.routes = routes
         self.callers = []
         self.governed = governed
+        self.repeats = repeats
         self.random = random.Random(seed)
         self._daemon_count = daemons
         self._kernels = []
@@ -275,6 +280,9 @@
 
     async def _call(self, caller):
         retry_s = await self._attempt(caller)
+        for _ in range(self.repeats):
+            if retry_s is not None:
+                retry_s = await self._attempt(caller)
         if retry_s is not None:
             await asyncio.sleep(retry_s)
             await self._attempt(caller)
@@ -357,6 +365,13 @@
             admission.record_end(claim)
 
 
+def capacity_per_s():
+    """Return how many mean requests a second a group ends when it is full."""
+    step_s = TIMINGS.step_s + TIMINGS.per_sequence_s * SLOTS
+    read_s = TIMINGS.usual_prompt_tokens / TIMINGS.prompt_tokens_per_s
+    return SLOTS / (TIMINGS.usual_answer_tokens * step_s + SLOTS * read_s)
+
+
 def stream_route(name, *, objective_s, priority=0, timeout_s=6.0):
     """Return a route of streams to the pool."""
     return Route(
