--- a/pimentogap/admission/_callers.py
+++ b/pimentogap/admission/_callers.py
@@ -2,8 +2,9 @@
 
 # Half of the time for which the longest deadline of a route is remembered.
 WINDOW_S = 30.0
-# Deadlines that differ by less than this are taken to be equal.
-TOLERANCE_S = 0.06
+# First deadlines on a route differ by up to this fraction of the longest. Callers who
+# were refused come back later than that, since they are told to.
+TOLERANCE_SHARE = 0.17
 
 
 class CallerPatience:
@@ -37,7 +38,7 @@
             deadline_s, self._longest_by_route.get(route_name, 0.0)
         )
         age_s = longest_s - deadline_s
-        return age_s if age_s > TOLERANCE_S else 0.0
+        return age_s if age_s > TOLERANCE_SHARE * longest_s else 0.0
 
     def _turn(self, now):
         if now - self._turned_at >= WINDOW_S:
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -280,7 +280,8 @@
             model,
             excluded=attempts.excluded_ids,
         )
-        if attempts.claim is None:
+        if attempts.claim is None or attempts.possible_runs:
+            # One that may have run is not refused for want of room any more.
             return choose()
         choice, attempts.urgency = await self._admission.place(attempts.claim, choose)
         return choice
