--- a/features/platform/admission.feature
+++ b/features/platform/admission.feature
@@ -78,3 +78,17 @@
     Given callers of a route who have 6 seconds
     Then one who has 4.5 seconds left first asked 1.5 seconds ago
     And one who has 6 seconds left asks for the first time
+
+  Scenario: Callers come back when a place comes free, one after the other
+    Given a daemon that gets 2 places a second for callers who come back
+    When 3 callers with 8 seconds left are refused within 0.1 seconds
+    Then they come back at least 0.2 seconds apart on average, within a third of that
+    When 30 callers with 8 seconds left are refused within 0.1 seconds
+    Then no tenth of a second has more than 6 of their returns
+
+  Scenario: Refused callers are served when they come back (burst)
+    Given 8 groups behind 20 daemons and callers with one retry
+    When requests fill 0.5 of the groups for 4 seconds
+    And requests fill 2.0 of the groups for 2 seconds
+    And requests fill 0.5 of the groups for 8 seconds
+    Then 0.7 of those refused once are served at their return
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -3,10 +3,12 @@
 import asyncio
 import dataclasses
 import math
+import random
+from collections import Counter
 
 from behave import given, then, when
 
-from pimentogap.admission import CallerPatience, Claim, WaitingLine
+from pimentogap.admission import CallerPatience, Claim, ReturnBook, WaitingLine
 from pimentogap.costs import GroupCost
 from standins.batching import (
     SLOTS,
@@ -220,3 +222,44 @@
 @then("one who has {left:g} seconds left asks for the first time")
 def then_first(context, left):
     assert context.patience.elapsed_s("r", left, 1.0) == 0.0
+
+
+@given("a daemon that gets {rate:g} places a second for callers who come back")
+def given_book(context, rate):
+    context.book = ReturnBook()
+    context.places_per_s = rate
+    context.rng = random.Random(1)
+
+
+@when("{count:d} callers with {left:g} seconds left are refused within 0.1 seconds")
+def when_refused(context, count, left):
+    context.left_s = left
+    context.returns = sorted(
+        now
+        + context.book.tell(
+            now, left_s=left, places_per_s=context.places_per_s, rng=context.rng
+        )
+        for now in (0.1 * index / count for index in range(count))
+    )
+
+
+@then(
+    "they come back at least {gap:g} seconds apart on average, within a third of that"
+)
+def then_apart(context, gap):
+    first, *_, last = context.returns
+    assert last - first >= gap * (len(context.returns) - 1), context.returns
+    assert last <= context.left_s / 3, context.returns
+
+
+@then("no tenth of a second has more than {most:d} of their returns")
+def then_spread(context, most):
+    counts = Counter(int(at * 10) for at in context.returns)
+    assert max(counts.values()) <= most, counts
+
+
+@then("{share:g} of those refused once are served at their return")
+def then_returns_served(context, share):
+    _settle(context)
+    refused = [each for each in context.pool.callers if each.refusals]
+    assert _served_share(refused) >= share, (_served_share(refused), len(refused))
--- a/pimentogap/admission/__init__.py
+++ b/pimentogap/admission/__init__.py
@@ -11,6 +11,7 @@
     spare_places,
 )
 from pimentogap.admission._line import LineFull, WaitingLine
+from pimentogap.admission._returns import ReturnBook
 from pimentogap.admission._service import AdmissionService, Refused
 from pimentogap.admission._share import SpareShare
 
@@ -23,6 +24,7 @@
     "LineFull",
     "Prospect",
     "Refused",
+    "ReturnBook",
     "SpareShare",
     "Turn",
     "WaitingLine",
--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -10,9 +10,9 @@
 HOLD_SHARE = 0.125
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
 # time that it has left.
-LATE_HOLD_SHARE = 0.25
+LATE_HOLD_SHARE = 0.6
 # Fraction of all places that late requests leave to those in time.
-RESERVED_SHARE = 0.2
+RESERVED_SHARE = 0.3
 FIRST_URGENCY = 1
 LAST_TIMELY_URGENCY = 6
 LATE_URGENCY = 9
--- a/pimentogap/admission/_service.py
+++ b/pimentogap/admission/_service.py
@@ -16,7 +16,8 @@
     spare_places,
 )
 from pimentogap.admission._line import LineFull, WaitingLine
-from pimentogap.admission._share import SpareShare
+from pimentogap.admission._returns import ReturnBook
+from pimentogap.admission._share import SpareShare, places_per_s
 from pimentogap.costs import Correction, GroupCost
 from pimentogap.metrics import Series
 from pimentogap.placement import Forward, Full, Limited, Missing
@@ -30,9 +31,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """No place was found for the request, for this ``cause``."""
+    """No place was found for the request, for this ``cause``.
+
+    One is expected for it in ``return_s`` seconds.
+    """
 
     cause: str
+    return_s: float
 
 
 class Pool:
@@ -41,7 +46,15 @@
     ``changed`` is done when a place may have come free.
     """
 
-    __slots__ = ("cost", "configured_for", "correction", "line", "spare", "changed")
+    __slots__ = (
+        "cost",
+        "configured_for",
+        "correction",
+        "line",
+        "spare",
+        "returns",
+        "changed",
+    )
 
     def __init__(self):
         self.cost = None
@@ -49,6 +62,7 @@
         self.correction = Correction()
         self.line = WaitingLine(MAX_WAITING)
         self.spare = SpareShare()
+        self.returns = ReturnBook()
         self.changed = asyncio.get_running_loop().create_future()
 
 
@@ -123,7 +137,7 @@
         )
 
     async def place(self, claim, choose):
-        """Wait until ``claim`` may go on.
+        """Wait until ``claim`` may go on, or is refused.
 
         :param choose: returns the placement's present choice for it.
         :return: the choice and the urgency, or `Refused` and ``None``.
@@ -132,13 +146,14 @@
         try:
             pool.line.join(claim, late=claim.left_s(self._kernel.clock.time()) <= 0)
         except LineFull:
-            self._refuse(claim, pool, "line_full")
-            return Refused("line_full"), None
+            return self._refuse(claim, pool, "line_full"), None
+        self._show_length(claim, pool)
         try:
             return await self._wait_in_line(claim, pool, choose)
         finally:
             pool.line.leave(claim)
             self._wake(pool)
+            self._show_length(claim, pool)
 
     async def _wait_in_line(self, claim, pool, choose):
         clock = self._kernel.clock
@@ -157,11 +172,11 @@
                     pool.line.record_admission(claim, now)
                     if late:
                         pool.spare.take()
+                    self._count_return(claim, "admitted")
                     self._record_wait(claim, pool, prospect)
                     return choice, urgency
                 case Turn(cause):
-                    self._refuse(claim, pool, cause, prospect)
-                    return Refused(cause), None
+                    return self._refuse(claim, pool, cause, prospect), None
                 case Hold(for_s):
                     wake_in_s = min(CHECK_INTERVAL_S, claim.arrived_at + for_s - now)
             await asyncio.wait({pool.changed}, timeout=max(0.0, wake_in_s))
@@ -247,6 +262,10 @@
             pool.changed.set_result(None)
         pool.changed = asyncio.get_running_loop().create_future()
 
+    def _show_length(self, claim, pool):
+        series = Series("admission_waiting", claim.service, "-", "", claim.model)
+        self._metrics.set_gauge(series, len(pool.line))
+
     def _record_wait(self, claim, pool, prospect):
         waited_s = self._kernel.clock.time() - claim.arrived_at
         if waited_s < CHECK_INTERVAL_S / 2:
@@ -257,10 +276,28 @@
         log.info("waited for a place", **numbers)
 
     def _refuse(self, claim, pool, cause, prospect=None):
+        """Return the `Refused` for ``claim``, and record it."""
+        now = self._kernel.clock.time()
+        spare = self._spare_places(claim, now)
+        return_s = pool.returns.tell(
+            now,
+            left_s=claim.deadline - now,
+            places_per_s=places_per_s(spare, self._daemons.count),
+            rng=self._kernel.random,
+        )
         series = Series("refused_for_room", claim.service, "-", cause, claim.model)
         self._metrics.count(series)
+        self._count_return(claim, "refused")
         numbers = self._numbers(claim, pool, prospect)
-        log.info("refused for room", cause=cause, **numbers)
+        return_ms = round(return_s * 1000)
+        log.info("refused for room", cause=cause, return_ms=return_ms, **numbers)
+        return Refused(cause, return_s)
+
+    def _count_return(self, claim, outcome):
+        """Count how a request fared that came back after a refusal."""
+        if claim.elapsed_s > 0:
+            series = Series("returns", claim.service, "-", outcome, claim.model)
+            self._metrics.count(series)
 
     def _numbers(self, claim, pool, prospect):
         """Return the numbers that decided, for a log line."""
@@ -274,6 +311,7 @@
             "age_ms": round((claim.elapsed_s + held_s) * 1000),
             "held_ms": round(held_s * 1000),
             "waiting": len(pool.line),
+            "promised": pool.returns.promised(now),
             "spare": round(self._spare_places(claim, now), 1),
             "excess_ms": round(pool.correction.excess_s(now) * 1000),
             "expected_ms": prospect and round(prospect.first_event_s * 1000),
--- a/pimentogap/admission/_share.py
+++ b/pimentogap/admission/_share.py
@@ -27,7 +27,7 @@
         if self._filled_at is not None:
             elapsed_s = min(KNOWLEDGE_AGE_S, max(0.0, now - self._filled_at))
             share = max(0.0, spare_places) / max(1, daemons)
-            self._places += share * elapsed_s / KNOWLEDGE_AGE_S
+            self._places += elapsed_s * places_per_s(spare_places, daemons)
             self._places = min(self._places, max(MAX_SAVED, share))
         self._filled_at = now
 
@@ -39,3 +39,8 @@
     def take(self):
         """Take a place."""
         self._places -= 1.0
+
+
+def places_per_s(spare_places, daemons):
+    """Return the rate at which each of ``daemons`` may take ``spare_places``."""
+    return max(0.0, spare_places) / max(1, daemons) / KNOWLEDGE_AGE_S
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -76,8 +76,10 @@
                 self.log_end(request, admitted, attempts, "backend_failed", status)
             case Full():
                 self._refuse_unserved(request, admitted, attempts, "full", remaining_s)
-            case Refused(cause):
-                self._refuse_unserved(request, admitted, attempts, cause, remaining_s)
+            case Refused(cause, return_s):
+                self._refuse_unserved(
+                    request, admitted, attempts, cause, remaining_s, return_s
+                )
             case Limited(next_in_s):
                 after_s = max(
                     next_in_s, return_delay_s(remaining_s, self._kernel.random)
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -6,7 +6,6 @@
 
 from pimentogap.admission import AdmissionService, Refused
 from pimentogap.forwarding import CallerRequest
-from pimentogap.forwarding._returns import return_delay_s
 from pimentogap.forwarding._routes import Admitted
 from pimentogap.kernel import Kernel
 from pimentogap.metrics import MetricService
@@ -309,17 +308,17 @@
         admitted = Admitted(caller.route, SERVICE, caller.workspace)
         excluded = set()
         for _ in range(RETRIES_AT_FULL):
-            backend, claim, urgency = await self._place(
+            choice, claim, urgency = await self._place(
                 kernel, request, admitted, now + left_s, excluded
             )
-            if backend is None:
+            if not isinstance(choice, Forward):
                 break
+            backend = choice.backend
             if await self._run(kernel, backend, claim, urgency, caller):
                 return None
             excluded.add(backend.id)
         caller.refusals += 1
-        left_s = caller.route.timeout_s - (kernel.clock.time() - caller.sent_at)
-        return return_delay_s(left_s, self.random)
+        return choice.return_s if isinstance(choice, Refused) else left_s / 4
 
     async def _place(self, kernel, request, admitted, deadline, excluded):
         placement, admission = kernel.get("placement"), kernel.get("admission")
@@ -328,14 +327,10 @@
             return placement.choose(SERVICE, MODEL, excluded=excluded)
 
         if not self.governed:
-            choice = choose()
-            backend = choice.backend if isinstance(choice, Forward) else None
-            return backend, None, 5
+            return choose(), None, 5
         claim = admission.claim(request, admitted, deadline)
         choice, urgency = await admission.place(claim, choose)
-        if isinstance(choice, Refused):
-            return None, claim, None
-        return choice.backend, claim, urgency
+        return choice, claim, urgency
 
     async def _run(self, kernel, backend, claim, urgency, caller):
         """Run a request to its end, and return whether the group took it."""
