Find the pace of each backend server from how it answers

A server that had just come (back) was flooded or left idle, and every group got up to its slots however slow it answered. Relays now keep a limit for each server by the answers to all daemons: it begins low, doubles while the answers are good, falls by the share of slow ones, and pauses with single tries while requests fail. Only where daemons share pools.

--- a/pimentogap/forwarding/_evidence.py
+++ b/pimentogap/forwarding/_evidence.py
@@ -95,6 +95,7 @@
         """Suspect ``backend``, or a member of its group, as ``outcome`` says."""
         now = self._kernel.clock.time()
         latency = self._placement.latency(admitted.service, request.needs.model)
+        self._record_signs(load, outcome, now)
         match outcome:
             case TimedOut() if now < stalled_at(
                 admitted.route, receiver, load, latency, now
@@ -128,6 +129,14 @@
                 log.info("backend suspect", backend=backend.id, culprit=culprit)
                 self._raise_alarm(backend)
 
+    def _record_signs(self, load, outcome, now):
+        """Record what ``outcome`` shows of the pace of its server."""
+        match outcome:
+            case NotRun(status=status) if status == UNAVAILABLE_STATUS:
+                load.record_rejection(now)
+            case NotSent() | Lost() | Stalled() | TimedOut():
+                load.record_failure(now)
+
     def _raise_alarm(self, backend):
         alarms = self._kernel.find("alarms")
         if alarms is not None and backend.membership is not None:
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -1,5 +1,8 @@
 """Receives the answer of one attempt and passes it on to the caller."""
 
+import math
+from dataclasses import dataclass
+
 from pimentogap.errors import ResponseLost
 from pimentogap.forwarding._outcomes import Delivered, Failure, Lost, NotRun
 
@@ -11,12 +14,25 @@
 MIN_PROGRESS_BYTES = 512
 # Other tasks run after so much of a stream, since each event of it costs time.
 BYTES_PER_TURN = 8192
+# A caller that takes longer than this for some events may hold up the next ones.
+SLOW_WRITE_S = 0.02
 # Another backend server may have given the answer.
 MISDIRECTED_STATUS = 421
 # Callers do not wait longer than this.
 MAX_RETURN_S = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class Objectives:
+    """What a route wants of answers: the wait for them and between their events."""
+
+    first_byte_s: float
+    max_gap_s: float
+
+
+NO_OBJECTIVES = Objectives(math.inf, math.inf)
+
+
 class AnswerReceiver:
     """The receiver of one attempt's answer.
 
@@ -45,10 +61,20 @@
         "_clock",
         "_request",
         "_record_wishes",
+        "_objectives",
+        "_is_caller_slow",
     )
 
     def __init__(
-        self, request, load, latency, codec, clock, event_filter, record_wishes
+        self,
+        request,
+        load,
+        latency,
+        codec,
+        clock,
+        event_filter,
+        record_wishes,
+        objectives=NO_OBJECTIVES,
     ):
         """Pass the answer on to the caller of ``request``.
 
@@ -57,6 +83,7 @@
         :param codec: reads and writes the platform's headers.
         :param event_filter: the stream's `EventFilter`, or ``None`` for a plain answer.
         :param record_wishes: called with the `BackendAnswer` once its head has arrived.
+        :param objectives: the `Objectives` of the route.
         """
         self.answer = None
         self.progress_at = clock.time()
@@ -75,6 +102,8 @@
         self._clock = clock
         self._request = request
         self._record_wishes = record_wishes
+        self._objectives = objectives
+        self._is_caller_slow = False
         if event_filter is not None:
             event_filter.begin_attempt()
 
@@ -161,7 +190,13 @@
             else:
                 self._record_partial_event()
             if new.data:
-                await self._request.response.write(new.data)
+                await self._write(new.data)
+
+    async def _write(self, data):
+        """Pass on events, and note whether the caller held up the next ones."""
+        before = self._clock.time()
+        await self._request.response.write(data)
+        self._is_caller_slow = self._clock.time() - before > SLOW_WRITE_S
 
     def _record_partial_event(self):
         partial_bytes = self._event_filter.partial_bytes
@@ -177,13 +212,22 @@
         if self.first_event_at is None:
             self.first_event_at = now
             self._latency.record_first_event(now - self._began_at, now)
+            self._record_wait(now)
         else:
             self._latency.record_gap(now - waiting_since, now)
+            if not self._is_caller_slow:
+                max_gap_s = self._objectives.max_gap_s or math.inf
+                self._load.record_gap(now - waiting_since, max_gap_s, now)
         if not self._is_passing_through:
             self._is_passing_through = True
             if not self._request.response.begun:
                 self._begin_stream()
 
+    def _record_wait(self, now):
+        """Record how long the answer, or a stream's first event, took."""
+        slow_after_s = self._latency.slow_after_s(self._objectives.first_byte_s)
+        self._load.record_first_event(now - self._began_at, slow_after_s, now)
+
     def _begin_stream(self):
         headers = [
             (name, value)
@@ -207,6 +251,7 @@
         self._buffered_chunks.clear()
 
     def _deliver_buffered(self):
+        self._record_wait(self._clock.time())
         response = self._request.response
         if not self._is_passing_through:
             response.begin(self.answer.status, self._response_headers())
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -24,7 +24,7 @@
     Withdrawn,
     Withheld,
 )
-from pimentogap.forwarding._receiver import AnswerReceiver
+from pimentogap.forwarding._receiver import AnswerReceiver, Objectives
 from pimentogap.forwarding._responses import RETRY_AFTER_PAUSE_S, Responder
 from pimentogap.forwarding._routes import (
     STATUS_BY_REASON,
@@ -318,6 +318,7 @@
             self._kernel.clock,
             attempts.event_filter,
             partial(self._evidence.record_wishes, backend, load),
+            Objectives(admitted.route.first_byte_s, admitted.route.max_gap_s),
         )
         load.in_flight += 1
         exchange = asyncio.ensure_future(
--- a/pimentogap/metrics/_service.py
+++ b/pimentogap/metrics/_service.py
@@ -19,6 +19,7 @@
     workspace: str
     outcome: str = ""
     model: str = ""
+    backend: str = ""
 
 
 class MetricService:
@@ -109,4 +110,6 @@
         labels["outcome"] = series.outcome
     if series.model:
         labels["model"] = series.model
+    if series.backend:
+        labels["backend"] = series.backend
     return "{" + ",".join(f'{key}="{value}"' for key, value in labels.items()) + "}"
--- a/pimentogap/occupancy/_book.py
+++ b/pimentogap/occupancy/_book.py
@@ -1,5 +1,6 @@
 """Adds up what daemons state of their requests at backend servers."""
 
+import operator
 from dataclasses import dataclass, field
 
 # A statement counts for so long; a daemon that has ended drops out after that.
@@ -11,20 +12,26 @@
     """Requests at work by the key of the backend server, of ``daemons`` daemons.
 
     ``flows_by_model`` has, for each model, how many requests lately looked for a
-    backend server and how many were sent, as a tuple.
+    backend server and how many were sent, as a tuple; ``signs_by_key`` what the latest
+    answers of each backend server show, as a tuple of counts.
     """
 
     at_work_by_key: dict = field(default_factory=dict)
     flows_by_model: dict = field(default_factory=dict)
     daemons: int = 0
+    signs_by_key: dict = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class Others:
-    """The `Counts` of other daemons, which are ``age_s`` seconds old on average."""
+    """The `Counts` of other daemons, which are ``age_s`` seconds old on average.
+
+    ``limits_by_key`` are the limits that a relay has found for backend servers.
+    """
 
     counts: Counts
     age_s: float
+    limits_by_key: dict = field(default_factory=dict)
 
 
 class Statement:
@@ -95,6 +102,7 @@
 def _summed(statements, now):
     at_work_by_key = {}
     flows_by_model = {}
+    signs_by_key = {}
     daemons = 0
     ages_s = 0.0
     for statement in statements:
@@ -103,8 +111,17 @@
         ages_s += counts.daemons * (now - statement.stated_at)
         for key, count in counts.at_work_by_key.items():
             at_work_by_key[key] = at_work_by_key.get(key, 0) + count
-        for model, (asked, sent) in counts.flows_by_model.items():
-            others_asked, others_sent = flows_by_model.get(model, (0, 0))
-            flows_by_model[model] = (others_asked + asked, others_sent + sent)
+        _add(flows_by_model, counts.flows_by_model)
+        _add(signs_by_key, counts.signs_by_key)
     age_s = ages_s / daemons if daemons else 0.0
-    return Others(Counts(at_work_by_key, flows_by_model, daemons), age_s)
+    counts = Counts(at_work_by_key, flows_by_model, daemons, signs_by_key)
+    return Others(counts, age_s)
+
+
+def _add(sums_by_key, tuples_by_key):
+    for key, counts in tuples_by_key.items():
+        sums = sums_by_key.get(key)
+        if sums is None:
+            sums_by_key[key] = tuple(counts)
+        else:
+            sums_by_key[key] = tuple(map(operator.add, sums, counts))
--- a/pimentogap/occupancy/_messages.py
+++ b/pimentogap/occupancy/_messages.py
@@ -8,6 +8,8 @@
 MAX_KEYS = 20_000
 MAX_DAEMONS = 100_000
 MAX_AGE_S = 60.0
+FLOW_COUNTS = 2
+SIGN_COUNTS = 4
 
 
 def dump_counts(counts):
@@ -15,6 +17,7 @@
     return {
         "at_work": counts.at_work_by_key,
         "flows": counts.flows_by_model,
+        "signs": counts.signs_by_key,
         "daemons": counts.daemons,
     }
 
@@ -31,20 +34,21 @@
         raise InvalidStatement("the statement has no counts by backend server")
     if not all(_is_count(count, MAX_AT_WORK) for count in at_work.values()):
         raise InvalidStatement("a count is not a number of requests")
-    flows = body.get("flows")
-    if not isinstance(flows, dict) or len(flows) > MAX_KEYS:
-        raise InvalidStatement("the statement has no flows by model")
-    if not all(_is_flow(flow) for flow in flows.values()):
-        raise InvalidStatement("a flow is not a pair of counts")
+    flows = _load_tuples(body, "flows", FLOW_COUNTS)
+    signs = _load_tuples(body, "signs", SIGN_COUNTS)
     daemons = body.get("daemons")
     if not _is_count(daemons, MAX_DAEMONS):
         raise InvalidStatement(f"{daemons!r} is not a number of daemons")
-    return Counts(at_work, flows, daemons)
+    return Counts(at_work, flows, daemons, signs)
 
 
 def dump_others(others):
     """Return ``others`` as plain data."""
-    return dump_counts(others.counts) | {"age_s": round(others.age_s, 3)}
+    limits = {key: round(limit, 1) for key, limit in others.limits_by_key.items()}
+    return dump_counts(others.counts) | {
+        "age_s": round(others.age_s, 3),
+        "limits": limits,
+    }
 
 
 def load_others(body):
@@ -54,18 +58,40 @@
     """
     counts = load_counts(body)
     age_s = body.get("age_s")
-    if not isinstance(age_s, int | float) or not 0 <= age_s <= MAX_AGE_S:
+    if not _is_number(age_s, MAX_AGE_S):
         raise InvalidStatement(f"{age_s!r} is not an age")
-    return Others(counts, age_s)
+    limits = body.get("limits")
+    if not isinstance(limits, dict) or len(limits) > MAX_KEYS:
+        raise InvalidStatement("the answer has no limits by backend server")
+    if not all(_is_number(limit, MAX_AT_WORK) for limit in limits.values()):
+        raise InvalidStatement("a limit is not a number of requests")
+    return Others(counts, age_s, limits)
+
 
+def _load_tuples(body, field, size):
+    """Return the tuples of ``size`` counts by key in a field of ``body``.
+
+    :raises InvalidStatement: if there are none, or malformed ones.
+    """
+    tuples = body.get(field)
+    if not isinstance(tuples, dict) or len(tuples) > MAX_KEYS:
+        raise InvalidStatement(f"the statement has no {field}")
+    if not all(_is_tuple(value, size) for value in tuples.values()):
+        raise InvalidStatement(f"one of the {field} is not {size} counts")
+    return tuples
 
-def _is_flow(value):
+
+def _is_tuple(value, size):
     return (
         isinstance(value, list | tuple)
-        and len(value) == 2
+        and len(value) == size
         and all(_is_count(count, MAX_AT_WORK) for count in value)
     )
 
 
+def _is_number(value, most):
+    return type(value) in (int, float) and 0 <= value <= most
+
+
 def _is_count(value, most):
     return type(value) is int and 0 <= value <= most
--- a/pimentogap/occupancy/_service.py
+++ b/pimentogap/occupancy/_service.py
@@ -1,5 +1,7 @@
 """The service that exchanges the daemons' requests at work by way of the relays."""
 
+from dataclasses import replace
+
 from logbook import Logger
 
 from pimentogap.errors import InvalidStatement, PeerUnreachable, ResponseLost
@@ -48,6 +50,7 @@
         "_book",
         "_tell",
         "_hear",
+        "_limits",
         "_cooldown_until_by_relay",
         "_swapping_with",
     )
@@ -65,6 +68,7 @@
         self._book = OccupancyBook()
         self._tell = lambda: Counts(daemons=1)
         self._hear = None
+        self._limits = dict
         self._cooldown_until_by_relay = {}
         self._swapping_with = set()
 
@@ -82,14 +86,16 @@
     async def stop(self):
         """Do nothing; the kernel cancels the tasks."""
 
-    def attach(self, tell, hear):
+    def attach(self, tell, hear, limits=dict):
         """Take the daemon's own counts from ``tell`` and pass the others' to ``hear``.
 
         :param tell: returns the daemon's `Counts`.
         :param hear: gets the `Others`.
+        :param limits: returns the limits by backend server that a relay passes on.
         """
         self._tell = tell
         self._hear = hear
+        self._limits = limits
 
     async def _exchange(self):
         was_idle = False
@@ -183,7 +189,8 @@
             return {}
         now = self._kernel.clock.time()
         self._book.record_daemon(id_, counts, now)
-        return dump_others(self._book.others(id_, now))
+        others = self._book.others(id_, now)
+        return dump_others(replace(others, limits_by_key=self._limits()))
 
     async def _answer_swap(self, body):
         """Record the sums of another relay; answer with this one's."""
--- a/pimentogap/placement/_choice.py
+++ b/pimentogap/placement/_choice.py
@@ -20,6 +20,8 @@
     :param random: the random generator.
     """
     limits = [load.limit for load in loads]
+    if max(limits) < MIN_ROOM:
+        limits = [MIN_ROOM] * len(loads)
     if age_s is None:
         at_work = [load.expected_requests(now) for load in loads]
         return choose_of_two(at_work, limits, random)
@@ -50,7 +52,7 @@
             return None
         level = 1.0
     weights = [
-        max(0.0, level * limit - count)
+        max(0.0, level * limit - count) if limit >= MIN_ROOM else 0.0
         for limit, count in zip(limits, at_work, strict=True)
     ]
     return random.choices(range(len(weights)), weights)[0]
@@ -61,6 +63,7 @@
     filled = sorted(
         (count / limit, count, limit)
         for count, limit in zip(at_work, limits, strict=True)
+        if limit >= MIN_ROOM
     )
     total, total_limit = arrivals, 0.0
     level = float("inf")
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -2,9 +2,13 @@
 
 import math
 
+from pimentogap.pace import AnswerWindow, Sign
+
 # Requests per slot, running and queued, from which a backend server counts as full if
 # nothing is known of its pace.
 MAX_REQUESTS_PER_SLOT = 2.0
+# A backend server that sent bytes of any answer within this time is working.
+WORKING_S = 0.3
 # What other daemons stated of their requests goes before load reports for this long.
 OTHERS_LIFETIME_S = 1.5
 # Half-life of the weight of a load report; about the time that a stream runs.
@@ -40,6 +44,7 @@
         "_consecutive_suspicions",
         "progress_at",
         "_quiet_until",
+        "answers",
     )
 
     def __init__(self, backend_id, slots, *, limit=None):
@@ -56,6 +61,32 @@
         self._consecutive_suspicions = 0
         self.progress_at = -math.inf
         self._quiet_until = -math.inf
+        self.answers = AnswerWindow()
+
+    def record_first_event(self, waited_s, slow_after_s, now):
+        """Record the wait for an answer, or for the first event of a stream.
+
+        :param slow_after_s: the seconds from which the wait was too long.
+        """
+        sign = Sign.GOOD if waited_s <= slow_after_s else Sign.SLOW
+        self.answers.record(sign, now)
+
+    def record_gap(self, gap_s, slow_after_s, now):
+        """Record the time between two events of a stream if it was too long."""
+        if gap_s > slow_after_s:
+            self.answers.record(Sign.SLOW, now)
+
+    def record_rejection(self, now):
+        """Record that a request was rejected and did not run."""
+        self.answers.record(Sign.REJECTED, now)
+
+    def record_failure(self, now):
+        """Record that a request got no answer, or a broken one.
+
+        One that answers other requests meanwhile is slow.
+        """
+        is_working = now - self.progress_at <= WORKING_S
+        self.answers.record(Sign.SLOW if is_working else Sign.FAILED, now)
 
     def ask_quiet(self, quiet_s, now):
         """Send nothing for ``quiet_s`` seconds, as the backend server asks."""
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -6,7 +6,9 @@
 from logbook import Logger
 
 from pimentogap.kernel import RestartOnError
+from pimentogap.metrics import Series
 from pimentogap.occupancy import Counts, Others
+from pimentogap.pace import Evidence, PaceBook, Reason, Room
 from pimentogap.placement._choice import choose_by_room
 from pimentogap.placement._flow import ModelFlow
 from pimentogap.placement._latency import ModelLatency
@@ -22,6 +24,10 @@
 # Backend servers whose estimated load exceeds the least by at most this many
 # requests count as equally loaded.
 EQUAL_LOAD_REQUESTS = 0.75
+# The same for a group whose answers are in time.
+MAX_GROUP_REQUESTS_PER_SLOT = 1.25
+# The limit of each backend server, exported by each daemon.
+PACE_GAUGE = "pace_limit"
 PRUNE_INTERVAL_S = 10.0
 
 
@@ -58,7 +64,14 @@
     """Chooses among the least loaded backend servers, by estimates of their load."""
 
     name = "placement"
-    requires = ("directory", "serving_configuration", "permits", "occupancy")
+    requires = (
+        "directory",
+        "serving_configuration",
+        "permits",
+        "occupancy",
+        "daemons",
+        "metrics",
+    )
     __slots__ = (
         "_kernel",
         "_directory",
@@ -68,6 +81,7 @@
         "_latencies_by_model",
         "_shares_pools",
         "_flows_by_model",
+        "_paces",
         "_others",
         "_others_known_at",
     )
@@ -80,6 +94,7 @@
         """
         self._shares_pools = shares_pools
         self._flows_by_model = {}
+        self._paces = PaceBook()
         self._others = Others(Counts(), 0.0)
         self._others_known_at = -math.inf
         self._kernel = None
@@ -96,7 +111,9 @@
         self._permits = kernel.get("permits")
         self._configuration = kernel.get("serving_configuration")
         if self._shares_pools:
-            kernel.get("occupancy").attach(self._tell, self._hear)
+            kernel.get("occupancy").attach(
+                self._tell, self._hear, self._paces.limits_by_key
+            )
         kernel.spawn(self.name, self._prune_unlisted, on_error=RestartOnError())
 
     async def stop(self):
@@ -113,15 +130,17 @@
     def _new_load(self, key, backend):
         if not self._shares_pools:
             return BackendLoad(backend.id, backend.slots)
-        limit = backend.slots if backend.membership is not None else None
+        text = _key_text(key)
+        limit = self._paces.limit(text, _room(backend))
         load = BackendLoad(backend.id, backend.slots, limit=limit)
-        at_work = self._others.counts.at_work_by_key.get(_key_text(key), 0)
+        at_work = self._others.counts.at_work_by_key.get(text, 0)
         load.record_others(at_work, self._others_known_at)
         return load
 
     def _tell(self):
         """Return what this daemon states of its requests, as `Counts`."""
         now = self._kernel.clock.time()
+        self._update_pace(now)
         at_work_by_key = {
             _key_text(key): load.in_flight
             for key, load in self.loads_by_key.items()
@@ -134,7 +153,12 @@
         flows = {
             model: counts for model, counts in counts_by_model.items() if any(counts)
         }
-        return Counts(at_work_by_key, flows, 1)
+        signs_by_key = {
+            _key_text(key): evidence.counts()
+            for key, load in self.loads_by_key.items()
+            if (evidence := load.answers.evidence(now)).total
+        }
+        return Counts(at_work_by_key, flows, 1, signs_by_key)
 
     def _hear(self, others):
         """Take over what all other daemons state of their requests."""
@@ -150,6 +174,63 @@
                 self.load(item).expected_requests(now) for item in self._listed(*key)
             )
             flow.record_others(counts, at_work, now)
+        for key, limit in others.limits_by_key.items():
+            self._paces.follow(key, limit)
+
+    def _update_pace(self, now):
+        """Find the pace of each listed backend server, or take the relays'.
+
+        A relay knows the answers to all daemons. A daemon that hears of no relay goes
+        by its own.
+        """
+        backends_by_key = {}
+        rooms = {}
+        for model, backend in self._backends():
+            key = _key_text(_load_key(backend))
+            backends_by_key[key] = backend
+            rooms[key] = _room(backend, model)
+        self._paces.record_listed(rooms, now)
+        self._paces.forget_unlisted(now)
+        is_known = now - self._others_known_at <= OTHERS_LIFETIME_S
+        decides = not is_known or self._kernel.get("daemons").is_relay()
+        signs_by_key = self._others.counts.signs_by_key if is_known else {}
+        for key, backend in backends_by_key.items():
+            load = self.load(backend)
+            if decides:
+                others = Evidence(*signs_by_key.get(key, ()))
+                evidence = load.answers.evidence(now) + others
+                at_work = load.expected_requests(now)
+                self._paces.update(key, evidence, at_work, now)
+            self._set_limit(backend, load, self._paces.paces_by_key[key])
+
+    def _set_limit(self, backend, load, pace):
+        metrics = self._kernel.get("metrics")
+        series = Series(PACE_GAUGE, backend.service, "-", backend=backend.id)
+        metrics.set_gauge(series, pace.limit)
+        if pace.limit == load.limit:
+            return
+        if pace.reason is not Reason.TOLD:
+            log.info(
+                "pace changed",
+                backend=backend.id,
+                limit=round(pace.limit, 1),
+                before=round(load.limit, 1),
+                reason=pace.reason,
+            )
+        load.limit = pace.limit
+
+    def _backends(self):
+        """Yield every backend server that may get requests, after its model."""
+        configuration = self._configuration.current
+        services = configuration.services_by_name.values() if configuration else ()
+        for service in services:
+            if service.engine is None:
+                for backend in self._directory.backends(service.name):
+                    yield (service.name, ""), backend
+                continue
+            for spec in service.engine.models:
+                for backend in self._directory.heads(service.name, spec.name):
+                    yield (service.name, spec.name), backend
 
     def _flow(self, service, model):
         key = (service, model)
@@ -250,6 +331,7 @@
                 if not self.loads_by_key[key].in_flight:
                     del self.loads_by_key[key]
             self._forget_models()
+            self._kernel.get("metrics").remove_gauges(PACE_GAUGE)
 
     def _forget_models(self):
         """Forget models that the configuration does not have, which callers named."""
@@ -272,6 +354,14 @@
     return ".".join(map(str, key))
 
 
+def _room(backend, model=None):
+    """Return the `Room` of a backend server: a group's slots, or more than those."""
+    if backend.membership is None:
+        most = MAX_REQUESTS_PER_SLOT * backend.slots
+        return Room(model, most, most)
+    return Room(model, backend.slots, MAX_GROUP_REQUESTS_PER_SLOT * backend.slots)
+
+
 def _load_key(backend):
     membership = backend.membership
     return backend.id, backend.incarnation, membership.epoch if membership else 0
