--- a/pimentogap/admission/_claim.py
+++ b/pimentogap/admission/_claim.py
@@ -7,7 +7,8 @@
     ``objective_s`` is its objective for the first event, counted from the caller's
     first attempt; ``elapsed_s`` of it had passed when this attempt arrived at
     ``arrived_at``. ``tightest_s`` is the tightest objective of its own route and of
-    those that go before it. ``prompt_tokens`` is 0 if unknown.
+    those that go before it. ``prompt_tokens`` is 0 if unknown. A late one may next ask
+    for a place at ``asks_at``.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         "arrived_at",
         "deadline",
         "prompt_tokens",
+        "asks_at",
     )
 
     def __init__(
@@ -50,6 +52,7 @@
         self.arrived_at = arrived_at
         self.deadline = deadline
         self.prompt_tokens = prompt_tokens
+        self.asks_at = arrived_at
 
     def left_s(self, now):
         """Return the seconds in which its first event is still in time."""
--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -9,10 +9,10 @@
 # tightest objective: with a looser one it would have more chances than those before it.
 HOLD_SHARE = 0.125
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
-# time that it has left.
-LATE_HOLD_SHARE = 0.6
+# time that it has left, unless requests that could be in time are turned away.
+LATE_HOLD_SHARE = 0.4
 # Fraction of all places that late requests leave to those in time.
-RESERVED_SHARE = 0.3
+RESERVED_SHARE = 0.2
 FIRST_URGENCY = 1
 LAST_TIMELY_URGENCY = 6
 LATE_URGENCY = 9
@@ -56,7 +56,7 @@
     return free - RESERVED_SHARE * places
 
 
-def decide(claim, prospect, now, *, late):
+def decide(claim, prospect, now, *, late, hopeful=True):
     """Return `Admit`, `Hold` or `Turn` for ``claim``.
 
     :param claim: the `Claim`.
@@ -64,13 +64,14 @@
         there is none.
     :param now: seconds of the runtime's clock.
     :param late: whether the claim cannot be in time any more.
+    :param hopeful: whether a late claim may soon find a place.
     """
     waited_s = now - claim.arrived_at
     if late:
         if prospect is not None and prospect.first_event_s <= _usable_s(claim):
             return Admit(LATE_URGENCY)
         hold_s = LATE_HOLD_SHARE * (claim.deadline - claim.arrived_at)
-        return Hold(hold_s) if waited_s < hold_s else Turn("late")
+        return Hold(hold_s) if hopeful and waited_s < hold_s else Turn("late")
     if prospect is not None and prospect.first_event_s <= _room_s(claim, now):
         urgency = FIRST_URGENCY + max(0, claim.priority)
         return Admit(min(LAST_TIMELY_URGENCY, urgency))
--- a/pimentogap/admission/_service.py
+++ b/pimentogap/admission/_service.py
@@ -17,7 +17,7 @@
 )
 from pimentogap.admission._line import LineFull, WaitingLine
 from pimentogap.admission._returns import ReturnBook
-from pimentogap.admission._share import SpareShare, places_per_s
+from pimentogap.admission._share import KNOWLEDGE_AGE_S, SpareShare, places_per_s
 from pimentogap.costs import Correction, GroupCost
 from pimentogap.metrics import Series
 from pimentogap.placement import Forward, Full, Limited, Missing
@@ -43,7 +43,8 @@
 class Pool:
     """What this daemon knows of one service and model: costs and waiting requests.
 
-    ``changed`` is done when a place may have come free.
+    ``changed`` is done when a place may have come free. ``hopeful`` says that the last
+    request that could be in time was let on.
     """
 
     __slots__ = (
@@ -54,6 +55,7 @@
         "spare",
         "returns",
         "changed",
+        "hopeful",
     )
 
     def __init__(self):
@@ -64,6 +66,7 @@
         self.spare = SpareShare()
         self.returns = ReturnBook()
         self.changed = asyncio.get_running_loop().create_future()
+        self.hopeful = True
 
 
 class AdmissionService:
@@ -161,35 +164,36 @@
             now = clock.time()
             late = claim.left_s(now) < pool.cost.first_event_s(0)
             pool.line.mark_late(claim, late)
+            free, places = self._count_places(claim, now)
             choice = prospect = None
-            if self._may_ask(claim, pool, now, late=late):
+            if pool.line.first(now) is claim and (
+                not late or self._may_ask(claim, pool, spare_places(free, places))
+            ):
                 choice = choose()
                 if isinstance(choice, Limited | Missing):
                     return choice, None
                 prospect = self._prospect(choice, pool, now)
-            match decide(claim, prospect, now, late=late):
+            match decide(claim, prospect, now, late=late, hopeful=pool.hopeful):
                 case Admit(urgency):
+                    pool.hopeful = pool.hopeful or not late
                     pool.line.record_admission(claim, now)
-                    if late:
-                        pool.spare.take()
                     self._count_return(claim, "admitted")
                     self._record_wait(claim, pool, prospect)
                     return choice, urgency
                 case Turn(cause):
+                    pool.hopeful = pool.hopeful and late
                     return self._refuse(claim, pool, cause, prospect), None
                 case Hold(for_s):
                     wake_in_s = min(CHECK_INTERVAL_S, claim.arrived_at + for_s - now)
             await asyncio.wait({pool.changed}, timeout=max(0.0, wake_in_s))
 
-    def _may_ask(self, claim, pool, now, *, late):
-        """Tell whether ``claim`` is first in line, and may ask if it is late."""
-        if pool.line.first(now) is not claim:
+    def _may_ask(self, claim, pool, spare):
+        """Tell whether a late ``claim`` may ask for one of the ``spare`` places now."""
+        now = self._kernel.clock.time()
+        if spare <= 0 or now < claim.asks_at:
             return False
-        if not late:
-            return True
-        spare = self._spare_places(claim, now)
-        pool.spare.fill(spare, self._daemons.count, now)
-        return spare > 0 and pool.spare.has_place
+        claim.asks_at = now + KNOWLEDGE_AGE_S / 2
+        return pool.spare.draw(spare, self._daemons.count, now, self._kernel.random)
 
     def expected_s(self, claim, backend):
         """Return the uncorrected time to a first event at ``backend``, 0 if unknown."""
@@ -223,14 +227,19 @@
             case Full():
                 return None
 
+    def _count_places(self, claim, now):
+        """Return the free places of all backend servers, and all of their places."""
+        free = places = 0.0
+        for backend in self._directory.heads(claim.service, claim.model):
+            load = self._placement.load(backend)
+            usable = min(load.slots, load.limit)
+            places += usable
+            free += max(0.0, usable - load.expected_requests(now))
+        return free, places
+
     def _spare_places(self, claim, now):
         """Return how many places of all backend servers late requests may take."""
-        loads = [
-            self._placement.load(backend)
-            for backend in self._directory.heads(claim.service, claim.model)
-        ]
-        free = sum(max(0.0, load.slots - load.expected_requests(now)) for load in loads)
-        return spare_places(free, sum(load.slots for load in loads))
+        return spare_places(*self._count_places(claim, now))
 
     def _pool(self, service, model):
         pool = self._pools_by_key.get((service, model))
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -18,6 +18,8 @@
     EngineLoad,
     EngineSpec,
     EngineTimings,
+    Membership,
+    MemberState,
     ModelSpec,
     RequestNeeds,
     Route,
@@ -220,6 +222,7 @@
                 availability_zone="z-a",
                 state=BackendState.READY,
                 slots=SLOTS,
+                membership=Membership(f"g-{index}", 1, 0, MemberState.OPEN),
             )
             for index in range(len(self.groups))
         ]
@@ -238,7 +241,7 @@
         for daemon in range(self._daemon_count):
             kernel = Kernel(seed=self.random.random())
 
-            def attach(tell, hear, daemon=daemon):
+            def attach(tell, hear, limits, daemon=daemon):
                 exchange = board.exchange(daemon, tell, hear)
                 self._tasks.append(asyncio.ensure_future(exchange))
 
@@ -246,7 +249,7 @@
                 MetricService(),
                 _Stub("occupancy", attach=attach),
                 _Stub("directory", heads=lambda *_: backends, backends_by_id={}),
-                _Stub("daemons", count=self._daemon_count),
+                _Stub("daemons", count=self._daemon_count, is_relay=lambda: False),
                 _Stub("permits", next_in_s=lambda _: 0.0, is_limited=lambda _: False),
                 _Stub("serving_configuration", current=configuration),
                 PlacementService(shares_pools=self.governed),
