--- a/features/platform/admission.feature
+++ b/features/platform/admission.feature
@@ -92,3 +92,8 @@
     And requests fill 2.0 of the groups for 2 seconds
     And requests fill 0.5 of the groups for 8 seconds
     Then 0.7 of those refused once are served at their return
+
+  Scenario: Only the daemon sets how urgent a request is at the backend server
+    Given a caller who sends an urgency class of its own
+    Then attempts with urgency 9 carry just that one
+    And attempts without an urgency carry none
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -7,9 +7,12 @@
 from collections import Counter
 
 from behave import given, then, when
+from tornado.httputil import HTTPHeaders
 
 from pimentogap.admission import CallerPatience, Claim, ReturnBook, WaitingLine
 from pimentogap.costs import GroupCost
+from pimentogap.platform import PlatformHeaders
+from pimentogap.types import Backend, BackendState
 from standins.batching import (
     SLOTS,
     TIMINGS,
@@ -22,6 +25,7 @@
 URGENT = stream_route("urgent", objective_s=0.25)
 RELAXED = stream_route("relaxed", objective_s=0.8, priority=2)
 SETTLING_S = 8.0
+URGENCY = "X-Pimentogap-Urgency-Class"
 
 
 @given("{groups:d} groups behind {daemons:d} daemons and callers with one retry")
@@ -263,3 +267,37 @@
     _settle(context)
     refused = [each for each in context.pool.callers if each.refusals]
     assert _served_share(refused) >= share, (_served_share(refused), len(refused))
+
+
+@given("a caller who sends an urgency class of its own")
+def given_urgency(context):
+    context.headers = HTTPHeaders({URGENCY: "0"})
+
+
+def _urgencies(context, urgency):
+    backend = Backend(
+        id="i-1",
+        service="s",
+        address="10.0.0.1:80",
+        availability_zone="z-a",
+        state=BackendState.READY,
+    )
+    codec = PlatformHeaders()
+    pairs = codec.forwarded_headers(context.headers) + codec.attempt_headers(
+        backend=backend,
+        remaining_s=1.0,
+        workspace=None,
+        last_event_id=None,
+        urgency=urgency,
+    )
+    return [value for name, value in pairs if name == URGENCY]
+
+
+@then("attempts with urgency {urgency:d} carry just that one")
+def then_urgency(context, urgency):
+    assert _urgencies(context, urgency) == [str(urgency)]
+
+
+@then("attempts without an urgency carry none")
+def then_no_urgency(context):
+    assert _urgencies(context, None) == []
--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -4,15 +4,15 @@
 
 # Fraction of an objective that estimates may fill; the rest covers their errors and the
 # way between caller, daemon and backend server.
-USABLE_SHARE = 0.9
+USABLE_SHARE = 0.8
 # How long a request that can still be in time waits for a place, as a fraction of the
 # tightest objective: with a looser one it would have more chances than those before it.
 HOLD_SHARE = 0.125
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
 # time that it has left, unless requests that could be in time are turned away.
-LATE_HOLD_SHARE = 0.4
+LATE_HOLD_SHARE = 0.125
 # Fraction of all places that late requests leave to those in time.
-RESERVED_SHARE = 0.2
+RESERVED_SHARE = 0.15
 FIRST_URGENCY = 1
 LAST_TIMELY_URGENCY = 6
 LATE_URGENCY = 9
--- a/pimentogap/admission/_returns.py
+++ b/pimentogap/admission/_returns.py
@@ -10,7 +10,7 @@
 MAX_WAIT_S = 2.5
 MIN_WAIT_S = 0.1
 # Those who find no place for a long time come spread over this end of their waits.
-SPREAD_SHARE = 0.25
+SPREAD_SHARE = 0.4
 
 
 class ReturnBook:
