Measure demand by what groups can have, not by their slots

Where groups are kept at their limits, the requests at work average less than the slots, so that an overloaded model would never get spares. Without shared pools nothing changes.

--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -56,3 +56,17 @@
     Given 18 servers with 24 slots that are listed and answer well
     When the daemon stands still for 5 seconds
     Then the limit of each is at least 24
+
+  # Guards against: spares stay idle, since the requests at work never reach the slots
+  # once there is no room for more.
+  Scenario Outline: A group without room counts as busy, whatever its limit
+    Given a group with 24 slots and a limit of <limit>, which has <requests> requests
+    Then its busy share is <share>
+
+    Examples:
+      | limit | requests | share |
+      | 48    | 24       | 1.0   |
+      | 48    | 12       | 0.5   |
+      | 24    | 20.4     | 1.0   |
+      | 6     | 5.1      | 1.0   |
+      | 0     | 1        | 1.0   |
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from pimentogap.pace import Evidence, PaceBook, Room, Sign
+from pimentogap.placement import BackendLoad
 from standins.pacing import Fails, Knee, PacedServer, Slow
 
 TICK_S = 0.2
@@ -176,3 +177,17 @@
 @then("the limit of each is at least {least:g}")
 def then_each_at_least(context, least):
     assert min(context.book.limits_by_key().values()) >= least
+
+
+@given(
+    "a group with {slots:d} slots and a limit of {limit:g},"
+    " which has {requests:g} requests"
+)
+def given_group(context, slots, limit, requests):
+    context.load = BackendLoad("b", slots, limit=limit)
+    context.load.record_others(requests, 0.0)
+
+
+@then("its busy share is {share:g}")
+def then_busy_share(context, share):
+    assert math.isclose(context.load.busy_share(0.0), share)
--- a/pimentogap/formation/_demand.py
+++ b/pimentogap/formation/_demand.py
@@ -33,7 +33,7 @@
         """Add a measurement to the moving average.
 
         :param busy_by_model: the busy groups of each model, as the sum of expected
-            requests per slot over the group heads.
+            requests over the group heads, as a share of what each can have.
         :param now: time of the measurement, in seconds of the runtime's clock.
         """
         elapsed_s = 0.0 if self._recorded_at is None else now - self._recorded_at
@@ -132,7 +132,7 @@
     def _measure(self, service, model, now):
         heads = self._kernel.get("directory").heads(service, model)
         placement = self._kernel.get("placement")
-        busy = sum(placement.load(head).requests_per_slot(now) for head in heads)
+        busy = sum(placement.load(head).busy_share(now) for head in heads)
         metrics = self._kernel.get("metrics")
         metrics.set_gauge(Series(OPEN_GROUPS, service, "-", model=model), len(heads))
         metrics.set_gauge(Series(BUSY_GROUPS, service, "-", model=model), busy)
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -9,6 +9,8 @@
 MAX_REQUESTS_PER_SLOT = 2.0
 # A backend server that sent bytes of any answer within this time is working.
 WORKING_S = 0.3
+# Requests, as a share of the limit, from which hardly any request finds room.
+FULL_SHARE = 0.85
 # What other daemons stated of their requests goes before load reports for this long.
 OTHERS_LIFETIME_S = 1.5
 # Half-life of the weight of a load report; about the time that a stream runs.
@@ -149,6 +151,11 @@
         """Return how many more requests it may have."""
         return self.limit - self.expected_requests(now)
 
+    def busy_share(self, now):
+        """Return the estimated requests as a share of what it can have in time."""
+        most = min(self.slots, max(1.0, FULL_SHARE * self.limit))
+        return self.expected_requests(now) / most
+
     def requests_per_slot(self, now):
         """Return the estimated number of requests per slot."""
         return self.expected_requests(now) / self.slots
