--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -10,9 +10,10 @@
 HOLD_SHARE = 0.125
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
 # time that it has left, unless requests that could be in time are turned away.
-LATE_HOLD_SHARE = 0.125
-# Fraction of all places that late requests leave to those in time.
-RESERVED_SHARE = 0.15
+LATE_HOLD_SHARE = 0.25
+# Fraction of the places, of each backend server and of all, that late requests leave to
+# those in time.
+RESERVED_SHARE = 0.25
 FIRST_URGENCY = 1
 LAST_TIMELY_URGENCY = 6
 LATE_URGENCY = 9
@@ -68,7 +69,7 @@
     """
     waited_s = now - claim.arrived_at
     if late:
-        if prospect is not None and prospect.first_event_s <= _usable_s(claim):
+        if prospect is not None and _has_spare_place(claim, prospect):
             return Admit(LATE_URGENCY)
         hold_s = LATE_HOLD_SHARE * (claim.deadline - claim.arrived_at)
         return Hold(hold_s) if hopeful and waited_s < hold_s else Turn("late")
@@ -79,6 +80,12 @@
     return Hold(hold_s) if waited_s < hold_s else Turn("full")
 
 
+def _has_spare_place(claim, prospect):
+    """Tell whether a late ``claim`` leaves enough places to those in time."""
+    most = (1 - RESERVED_SHARE) * prospect.slots
+    return prospect.requests < most and prospect.first_event_s <= _usable_s(claim)
+
+
 def _usable_s(claim):
     """Return the longest expected first event that keeps more urgent ones in time."""
     return USABLE_SHARE * claim.tightest_s
