--- a/features/platform/admission.feature
+++ b/features/platform/admission.feature
@@ -93,6 +93,16 @@
     And requests fill 0.5 of the groups for 8 seconds
     Then 0.7 of those refused once are served at their return
 
+  Scenario Outline: Slow groups are used as long as they have places (slow groups)
+    Given a request in time whose first event is expected after 3 times its objective
+    Then it is <result> at a group with <requests> requests for 24 places
+
+    Examples:
+      | requests | result |
+      | 0        | Admit  |
+      | 12       | Admit  |
+      | 24       | Hold   |
+
   Scenario: Only the daemon sets how urgent a request is at the backend server
     Given a caller who sends an urgency class of its own
     Then attempts with urgency 9 carry just that one
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -9,7 +9,14 @@
 from behave import given, then, when
 from tornado.httputil import HTTPHeaders
 
-from pimentogap.admission import CallerPatience, Claim, ReturnBook, WaitingLine
+from pimentogap.admission import (
+    CallerPatience,
+    Claim,
+    Prospect,
+    ReturnBook,
+    WaitingLine,
+    decide,
+)
 from pimentogap.costs import GroupCost
 from pimentogap.platform import PlatformHeaders
 from pimentogap.types import Backend, BackendState
@@ -269,6 +276,22 @@
     assert _served_share(refused) >= share, (_served_share(refused), len(refused))
 
 
+@given(
+    "a request in time whose first event is expected after {factor:g} times"
+    " its objective"
+)
+def given_slow(context, factor):
+    context.claim = _claim("a", "x", 0)
+    context.first_event_s = factor * context.claim.objective_s
+
+
+@then("it is {result} at a group with {requests:g} requests for {slots:d} places")
+def then_decided(context, result, requests, slots):
+    prospect = Prospect(requests, slots, context.first_event_s)
+    decision = decide(context.claim, prospect, now=0.0, late=False)
+    assert type(decision).__name__ == result, decision
+
+
 @given("a caller who sends an urgency class of its own")
 def given_urgency(context):
     context.headers = HTTPHeaders({URGENCY: "0"})
--- a/pimentogap/admission/_claim.py
+++ b/pimentogap/admission/_claim.py
@@ -54,6 +54,18 @@
         self.prompt_tokens = prompt_tokens
         self.asks_at = arrived_at
 
+    @property
+    def is_return(self):
+        """Whether the caller comes back after a refusal."""
+        return self.elapsed_s > 0
+
+    def is_late(self, least_s, now):
+        """Tell whether the claim of a caller who came back cannot be in time any more.
+
+        :param least_s: the time to a first event at a group without other requests.
+        """
+        return self.is_return and self.left_s(now) < least_s
+
     def left_s(self, now):
         """Return the seconds in which its first event is still in time."""
         return self.objective_s - self.elapsed_s - (now - self.arrived_at)
--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -73,7 +73,7 @@
             return Admit(LATE_URGENCY)
         hold_s = LATE_HOLD_SHARE * (claim.deadline - claim.arrived_at)
         return Hold(hold_s) if hopeful and waited_s < hold_s else Turn("late")
-    if prospect is not None and prospect.first_event_s <= _room_s(claim, now):
+    if prospect is not None and _fits(claim, prospect, now):
         urgency = FIRST_URGENCY + max(0, claim.priority)
         return Admit(min(LAST_TIMELY_URGENCY, urgency))
     hold_s = HOLD_SHARE * claim.tightest_s
@@ -82,16 +82,22 @@
 
 def _has_spare_place(claim, prospect):
     """Tell whether a late ``claim`` leaves enough places to those in time."""
-    most = (1 - RESERVED_SHARE) * prospect.slots
-    return prospect.requests < most and prospect.first_event_s <= _usable_s(claim)
+    return (
+        _is_unloaded(prospect)
+        and prospect.first_event_s <= USABLE_SHARE * claim.tightest_s
+    )
 
 
-def _usable_s(claim):
-    """Return the longest expected first event that keeps more urgent ones in time."""
-    return USABLE_SHARE * claim.tightest_s
+def _fits(claim, prospect, now):
+    """Tell whether ``claim`` may take its place.
 
-
-def _room_s(claim, now):
-    """Return the longest expected first event with which ``claim`` is let on."""
+    It may if it is in time, and more urgent ones behind it would be. Where many places
+    are free it may in any case: to refuse it would serve nobody.
+    """
     own_s = claim.left_s(now) - (1 - USABLE_SHARE) * claim.objective_s
-    return min(own_s, _usable_s(claim))
+    usable_s = min(own_s, USABLE_SHARE * claim.tightest_s)
+    return prospect.first_event_s <= usable_s or _is_unloaded(prospect)
+
+
+def _is_unloaded(prospect):
+    return prospect.requests < (1 - RESERVED_SHARE) * prospect.slots
--- a/pimentogap/admission/_service.py
+++ b/pimentogap/admission/_service.py
@@ -76,6 +76,7 @@
     requires = (
         "placement",
         "directory",
+        "daemons",
         "serving_configuration",
         "metrics",
     )
@@ -147,7 +148,8 @@
         """
         pool = self._pool(claim.service, claim.model)
         try:
-            pool.line.join(claim, late=claim.left_s(self._kernel.clock.time()) <= 0)
+            late = claim.is_late(pool.cost.first_event_s(0), self._kernel.clock.time())
+            pool.line.join(claim, late=late)
         except LineFull:
             return self._refuse(claim, pool, "line_full"), None
         self._show_length(claim, pool)
@@ -162,12 +164,11 @@
         clock = self._kernel.clock
         while True:
             now = clock.time()
-            late = claim.left_s(now) < pool.cost.first_event_s(0)
+            late = claim.is_late(pool.cost.first_event_s(0), now)
             pool.line.mark_late(claim, late)
-            free, places = self._count_places(claim, now)
             choice = prospect = None
             if pool.line.first(now) is claim and (
-                not late or self._may_ask(claim, pool, spare_places(free, places))
+                not late or self._may_ask(claim, pool)
             ):
                 choice = choose()
                 if isinstance(choice, Limited | Missing):
@@ -187,10 +188,13 @@
                     wake_in_s = min(CHECK_INTERVAL_S, claim.arrived_at + for_s - now)
             await asyncio.wait({pool.changed}, timeout=max(0.0, wake_in_s))
 
-    def _may_ask(self, claim, pool, spare):
-        """Tell whether a late ``claim`` may ask for one of the ``spare`` places now."""
+    def _may_ask(self, claim, pool):
+        """Tell whether a late ``claim`` may ask for a spare place now."""
         now = self._kernel.clock.time()
-        if spare <= 0 or now < claim.asks_at:
+        if now < claim.asks_at:
+            return False
+        spare = self._spare_places(claim, now)
+        if spare <= 0:
             return False
         claim.asks_at = now + KNOWLEDGE_AGE_S / 2
         return pool.spare.draw(spare, self._daemons.count, now, self._kernel.random)
@@ -205,8 +209,11 @@
         return cost.first_event_s(requests, claim.prompt_tokens)
 
     def record_first_event(self, claim, expected_s, observed_s):
-        """Correct the estimates of a model by an observed first event."""
-        if claim is not None:
+        """Correct the estimates of a model by an observed first event.
+
+        Late requests give way to others at their groups, and so show nothing.
+        """
+        if claim is not None and not claim.is_return:
             correction = self._pool(claim.service, claim.model).correction
             correction.record(observed_s, expected_s, self._kernel.clock.time())
 
@@ -227,19 +234,15 @@
             case Full():
                 return None
 
-    def _count_places(self, claim, now):
-        """Return the free places of all backend servers, and all of their places."""
+    def _spare_places(self, claim, now):
+        """Return how many places of all backend servers late requests may take."""
         free = places = 0.0
         for backend in self._directory.heads(claim.service, claim.model):
             load = self._placement.load(backend)
             usable = min(load.slots, load.limit)
             places += usable
             free += max(0.0, usable - load.expected_requests(now))
-        return free, places
-
-    def _spare_places(self, claim, now):
-        """Return how many places of all backend servers late requests may take."""
-        return spare_places(*self._count_places(claim, now))
+        return spare_places(free, places)
 
     def _pool(self, service, model):
         pool = self._pools_by_key.get((service, model))
@@ -304,7 +307,7 @@
 
     def _count_return(self, claim, outcome):
         """Count how a request fared that came back after a refusal."""
-        if claim.elapsed_s > 0:
+        if claim.is_return:
             series = Series("returns", claim.service, "-", outcome, claim.model)
             self._metrics.count(series)
 
