--- a/features/platform/admission.feature
+++ b/features/platform/admission.feature
@@ -41,7 +41,7 @@
 
   Scenario: A more urgent kind of request is served at least as often (priorities)
     Given 8 groups behind 20 daemons and callers with one retry
-    When requests fill 1.4 of the groups for 8 seconds, a tenth of them on a route with less priority
+    When requests fill 1.4 of the groups for 24 seconds, a tenth of them on a route with less priority
     Then that route is served at most 0.05 more often than the other
 
   Scenario: Service is back soon after the groups are (recovery)
--- a/pimentogap/admission/_decide.py
+++ b/pimentogap/admission/_decide.py
@@ -11,9 +11,10 @@
 # A caller that comes back late has nobody else to ask. It waits for a fraction of the
 # time that it has left, unless requests that could be in time are turned away.
 LATE_HOLD_SHARE = 0.25
-# Fraction of the places, of each backend server and of all, that late requests leave to
-# those in time.
+# Fraction of all places that late requests leave to those in time.
 RESERVED_SHARE = 0.25
+# Fraction of the places of a backend server up to which late requests go to it.
+LATE_GROUP_SHARE = 0.6
 FIRST_URGENCY = 1
 LAST_TIMELY_URGENCY = 6
 LATE_URGENCY = 9
@@ -83,7 +84,7 @@
 def _has_spare_place(claim, prospect):
     """Tell whether a late ``claim`` leaves enough places to those in time."""
     return (
-        _is_unloaded(prospect)
+        prospect.requests < LATE_GROUP_SHARE * prospect.slots
         and prospect.first_event_s <= USABLE_SHARE * claim.tightest_s
     )
 
@@ -95,7 +96,8 @@
     are free it may in any case: to refuse it would serve nobody.
     """
     own_s = claim.left_s(now) - (1 - USABLE_SHARE) * claim.objective_s
-    usable_s = min(own_s, USABLE_SHARE * claim.tightest_s)
+    waited_s = now - claim.arrived_at
+    usable_s = min(own_s, USABLE_SHARE * claim.tightest_s - waited_s)
     return prospect.first_event_s <= usable_s or _is_unloaded(prospect)
 
 
--- a/pimentogap/admission/_share.py
+++ b/pimentogap/admission/_share.py
@@ -5,6 +5,8 @@
 # What daemons know of each other's requests may be so old. Together they take no more
 # in that time than the places that were spare at its beginning.
 KNOWLEDGE_AGE_S = 0.6
+# Late requests are counted over this time.
+WINDOW_S = 3.0
 
 
 class SpareShare:
@@ -28,9 +30,12 @@
         """
         asked_at = self._asked_at
         asked_at.append(now)
-        while asked_at[0] <= now - KNOWLEDGE_AGE_S:
+        while asked_at[0] <= now - WINDOW_S:
             asked_at.popleft()
-        return rng.random() * len(asked_at) * max(1, daemons) < spare_places
+        usually = len(asked_at) * KNOWLEDGE_AGE_S / WINDOW_S
+        besides = sum(at > now - KNOWLEDGE_AGE_S for at in asked_at) - 1
+        asking = max(usually, besides) * max(1, daemons)
+        return rng.random() * asking < spare_places
 
 
 def places_per_s(spare_places, daemons):
