Tell a slow server from slow times, and count requests that nobody waits for

A server that is slow as the others are keeps three quarters of its slots, and it takes four fifths of failures to stop one. Load reports beyond what daemons state are shared.

--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -70,3 +70,10 @@
       | 24    | 20.4     | 1.0   |
       | 6     | 5.1      | 1.0   |
       | 0     | 1        | 1.0   |
+
+  # Guards against: an overload of all groups shrinks their batches, so that still fewer
+  # requests are served.
+  Scenario: Servers that are all slow keep most of their slots, one that is slower does not
+    Given 18 servers with 24 slots that are listed and answer well
+    When 0.3 of all answers are slow for 10 seconds, and all of one server
+    Then the limit of that one is at most 3, and of each other one at least 18
--- a/features/platform/shared_load.feature
+++ b/features/platform/shared_load.feature
@@ -42,3 +42,16 @@
     Given 1 availability zones with 2 daemons each that tell each other their requests
     When a daemon states nonsense
     Then it gets no answer, and daemon 1 knows of 0 requests at "i-1"
+
+  # Guards against: slots are taken by requests whose callers have left, and a server that
+  # reports absurd loads is never used again.
+  Scenario Outline: Reports show requests that nobody waits for any more
+    Given a group with 24 slots that others state <stated> requests at
+    When it reports <reported> requests to each of 5 answers
+    Then <expected> requests are expected there
+
+    Examples:
+      | stated | reported   | expected |
+      | 10     | 16         | 16       |
+      | 10     | 4          | 10       |
+      | 10     | 1000000000 | 22       |
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -95,9 +95,7 @@
 def given_servers(context, count, slots):
     context.now = 0.0
     context.book = PaceBook()
-    context.rooms = {
-        f"server-{index}": Room("model", slots, slots) for index in range(count)
-    }
+    context.rooms = {f"server-{index}": Room("model", slots) for index in range(count)}
     pass_time(context, 5.0, context.rooms)
 
 
@@ -158,7 +156,7 @@
 
 @when("{count:d} servers with {slots:d} slots are listed at once")
 def when_listed(context, count, slots):
-    rooms = {f"server-{index}": Room("model", slots, slots) for index in range(count)}
+    rooms = {f"server-{index}": Room("model", slots) for index in range(count)}
     context.now += TICK_S
     context.book.record_listed(rooms, context.now)
 
@@ -191,3 +189,28 @@
 @then("its busy share is {share:g}")
 def then_busy_share(context, share):
     assert math.isclose(context.load.busy_share(0.0), share)
+
+
+@when(
+    "{share:g} of all answers are slow for {seconds:g} seconds, and all of one server"
+)
+def when_many_slow(context, share, seconds):
+    context.slowest = next(iter(context.rooms))
+    for _ in range(round(seconds / TICK_S)):
+        context.now += TICK_S
+        context.book.record_listed(context.rooms, context.now)
+        for key, room in context.rooms.items():
+            limit = context.book.limit(key, room)
+            slow = 10 if key == context.slowest else round(share * 10)
+            evidence = Evidence(good=10 - slow, slow=slow)
+            context.book.update(key, evidence, limit, context.now)
+
+
+@then(
+    "the limit of that one is at most {most:g},"
+    " and of each other one at least {least:g}"
+)
+def then_slowest(context, most, least):
+    limits = context.book.limits_by_key()
+    assert limits.pop(context.slowest) <= most, limits
+    assert min(limits.values()) >= least, limits
--- a/features/steps/shared_load_steps.py
+++ b/features/steps/shared_load_steps.py
@@ -8,6 +8,8 @@
 from pimentogap.kernel import Clock, Kernel
 from pimentogap.metrics import MetricService
 from pimentogap.occupancy import Counts, OccupancyService
+from pimentogap.placement import BackendLoad
+from pimentogap.types import EngineLoad
 from standins.emulator import LocalCallTransport
 from standins.paused import PausedEventLoop
 from standins.spreading import Spreading
@@ -261,3 +263,21 @@
 def then_no_answer(context, index, count, key):
     assert context.answers == [{}] * len(context.answers), context.answers
     then_knows_count(context, index, count, key)
+
+
+@given("a group with {slots:d} slots that others state {stated:d} requests at")
+def given_stated(context, slots, stated):
+    context.load = BackendLoad("b", slots)
+    context.load.record_others(stated, 0.0)
+
+
+@when("it reports {reported:d} requests to each of {count:d} answers")
+def when_reported(context, reported, count):
+    for _ in range(count):
+        context.load.record_report(EngineLoad(reported, 0, 24), 0.1)
+    context.load.record_hidden((0, 0), 0.1)
+
+
+@then("{expected:d} requests are expected there")
+def then_expected(context, expected):
+    assert context.load.expected_requests(0.1) == expected
--- a/pimentogap/occupancy/_book.py
+++ b/pimentogap/occupancy/_book.py
@@ -13,13 +13,16 @@
 
     ``flows_by_model`` has, for each model, how many requests lately looked for a
     backend server and how many were sent, as a tuple; ``signs_by_key`` what the latest
-    answers of each backend server show, as a tuple of counts.
+    answers of each backend server show, as a tuple of counts. ``hidden_by_key`` has by
+    how many requests lately reported loads exceeded what was stated, as a sum, and the
+    number of reports.
     """
 
     at_work_by_key: dict = field(default_factory=dict)
     flows_by_model: dict = field(default_factory=dict)
     daemons: int = 0
     signs_by_key: dict = field(default_factory=dict)
+    hidden_by_key: dict = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +106,7 @@
     at_work_by_key = {}
     flows_by_model = {}
     signs_by_key = {}
+    hidden_by_key = {}
     daemons = 0
     ages_s = 0.0
     for statement in statements:
@@ -113,8 +117,11 @@
             at_work_by_key[key] = at_work_by_key.get(key, 0) + count
         _add(flows_by_model, counts.flows_by_model)
         _add(signs_by_key, counts.signs_by_key)
+        _add(hidden_by_key, counts.hidden_by_key)
     age_s = ages_s / daemons if daemons else 0.0
-    counts = Counts(at_work_by_key, flows_by_model, daemons, signs_by_key)
+    counts = Counts(
+        at_work_by_key, flows_by_model, daemons, signs_by_key, hidden_by_key
+    )
     return Others(counts, age_s)
 
 
--- a/pimentogap/occupancy/_messages.py
+++ b/pimentogap/occupancy/_messages.py
@@ -10,6 +10,7 @@
 MAX_AGE_S = 60.0
 FLOW_COUNTS = 2
 SIGN_COUNTS = 4
+HIDDEN_COUNTS = 2
 
 
 def dump_counts(counts):
@@ -18,6 +19,7 @@
         "at_work": counts.at_work_by_key,
         "flows": counts.flows_by_model,
         "signs": counts.signs_by_key,
+        "hidden": counts.hidden_by_key,
         "daemons": counts.daemons,
     }
 
@@ -36,10 +38,11 @@
         raise InvalidStatement("a count is not a number of requests")
     flows = _load_tuples(body, "flows", FLOW_COUNTS)
     signs = _load_tuples(body, "signs", SIGN_COUNTS)
+    hidden = _load_tuples(body, "hidden", HIDDEN_COUNTS, least=-MAX_AT_WORK)
     daemons = body.get("daemons")
     if not _is_count(daemons, MAX_DAEMONS):
         raise InvalidStatement(f"{daemons!r} is not a number of daemons")
-    return Counts(at_work, flows, daemons, signs)
+    return Counts(at_work, flows, daemons, signs, hidden)
 
 
 def dump_others(others):
@@ -68,24 +71,25 @@
     return Others(counts, age_s, limits)
 
 
-def _load_tuples(body, field, size):
+def _load_tuples(body, field, size, *, least=0):
     """Return the tuples of ``size`` counts by key in a field of ``body``.
 
+    :param least: the least count.
     :raises InvalidStatement: if there are none, or malformed ones.
     """
     tuples = body.get(field)
     if not isinstance(tuples, dict) or len(tuples) > MAX_KEYS:
         raise InvalidStatement(f"the statement has no {field}")
-    if not all(_is_tuple(value, size) for value in tuples.values()):
+    if not all(_is_tuple(value, size, least) for value in tuples.values()):
         raise InvalidStatement(f"one of the {field} is not {size} counts")
     return tuples
 
 
-def _is_tuple(value, size):
+def _is_tuple(value, size, least):
     return (
         isinstance(value, list | tuple)
         and len(value) == size
-        and all(_is_count(count, MAX_AT_WORK) for count in value)
+        and all(_is_count(count, MAX_AT_WORK, least) for count in value)
     )
 
 
@@ -93,5 +97,5 @@
     return type(value) in (int, float) and 0 <= value <= most
 
 
-def _is_count(value, most):
-    return type(value) is int and 0 <= value <= most
+def _is_count(value, most, least=0):
+    return type(value) is int and least <= value <= most
--- a/pimentogap/pace/_book.py
+++ b/pimentogap/pace/_book.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass
 
+from pimentogap.pace._evidence import NO_EVIDENCE
 from pimentogap.pace._server import ServerPace
 
 # Servers that are listed when the daemon has just started count as established.
@@ -14,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Room:
-    """The limits of a server: ``usual`` if nothing special is known, ``most`` at best.
+    """The ``usual`` limit of a server, which is the highest as well.
 
     Servers with the same ``model``, any value that identifies one, can serve in place
     of each other.
@@ -22,7 +23,6 @@
 
     model: tuple | None
     usual: float
-    most: float
 
 
 class PaceBook:
@@ -31,13 +31,24 @@
     Times are in seconds of the runtime's clock.
     """
 
-    __slots__ = ("paces_by_key", "_listed_at_by_key", "_listed_at", "_began_at")
+    __slots__ = (
+        "paces_by_key",
+        "_listed_at_by_key",
+        "_listed_at",
+        "_began_at",
+        "_evidence_by_key",
+        "_evidence_by_model",
+        "_models_by_key",
+    )
 
     def __init__(self):
         self.paces_by_key = {}
         self._listed_at_by_key = {}
         self._listed_at = -math.inf
         self._began_at = None
+        self._evidence_by_key = {}
+        self._evidence_by_model = {}
+        self._models_by_key = {}
 
     def limit(self, key, room):
         """Return the limit of the server ``key``, which may not be listed yet.
@@ -61,12 +72,13 @@
         new = []
         for key, room in rooms_by_key.items():
             if key not in self.paces_by_key:
-                self.paces_by_key[key] = ServerPace(room.usual, most=room.most)
+                self.paces_by_key[key] = ServerPace(room.usual)
                 if now - self._began_at >= FIRST_LIST_S:
                     new.append(key)
             elif now - self._listed_at_by_key.get(key, now) > ABSENCE_S:
                 new.append(key)
             self._listed_at_by_key[key] = now
+        self._add_up_evidence(rooms_by_key)
         established = {
             room.model
             for key, room in rooms_by_key.items()
@@ -82,10 +94,24 @@
             if now - listed_at > FORGET_S:
                 del self._listed_at_by_key[key]
                 self.paces_by_key.pop(key, None)
+                self._evidence_by_key.pop(key, None)
+
+    def _add_up_evidence(self, rooms_by_key):
+        """Add up the evidence of the listed servers by their models."""
+        self._models_by_key = {key: room.model for key, room in rooms_by_key.items()}
+        self._evidence_by_model = {}
+        for key, model in self._models_by_key.items():
+            sum_ = self._evidence_by_model.get(model, NO_EVIDENCE)
+            evidence = self._evidence_by_key.get(key, NO_EVIDENCE)
+            self._evidence_by_model[model] = sum_ + evidence
 
     def update(self, key, evidence, at_work, now):
         """Change the limit of a listed server as the `Evidence` shows."""
-        self.paces_by_key[key].update(evidence, at_work, now)
+        before = self._evidence_by_key.get(key, NO_EVIDENCE)
+        of_model = self._evidence_by_model[self._models_by_key[key]]
+        self.paces_by_key[key].update(evidence, at_work, now, others=of_model - before)
+        self._evidence_by_key[key] = evidence
+        self._evidence_by_model[self._models_by_key[key]] = of_model - before + evidence
 
     def follow(self, key, limit):
         """Take over the limit of a server that a relay has found."""
--- a/pimentogap/pace/_evidence.py
+++ b/pimentogap/pace/_evidence.py
@@ -31,15 +31,27 @@
         """The number of all signs."""
         return self.good + self.slow + self.failed + self.rejected
 
+    @property
+    def bad_share(self):
+        """The share of slow answers and failures, 0 without any sign."""
+        return (self.slow + self.failed) / self.total if self.total else 0.0
+
     def counts(self):
         """Return the counts in the order of `Sign`."""
         return self.good, self.slow, self.failed, self.rejected
 
+    def __sub__(self, other):
+        pairs = zip(self.counts(), other.counts(), strict=True)
+        return Evidence(*(own - others for own, others in pairs))
+
     def __add__(self, other):
         pairs = zip(self.counts(), other.counts(), strict=True)
         return Evidence(*(own + others for own, others in pairs))
 
 
+NO_EVIDENCE = Evidence()
+
+
 class AnswerWindow:
     """The signs that this daemon saw lately, in seconds of the runtime's clock."""
 
--- a/pimentogap/pace/_server.py
+++ b/pimentogap/pace/_server.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from enum import StrEnum
 
-from pimentogap.pace._evidence import WINDOW_S
+from pimentogap.pace._evidence import NO_EVIDENCE, WINDOW_S
 from pimentogap.pace._phases import Failing, Starting, Steady, Tried
 
 # Share of the usual limit with which a server starts, and if no other is established.
@@ -25,6 +25,10 @@
 MAX_UNTRIED_GROWTH = 3.0
 # Requests at work, as a share of the limit, from which the limit counts as used.
 USED_SHARE = 0.7
+# Least limit of a server that is slow as all of its model are. A share of slow answers
+# this many times that of the others is its own.
+COMMON_FLOOR_SHARE = 0.75
+UNCOMMON_FACTOR = 2.0
 STEP_SHARE = 1 / 16
 # Growth once the answers at a limit were good for some rounds, far from the limit at
 # which they were slow.
@@ -37,10 +41,6 @@
 SLOW_MEMORY_S = 5.0
 # Falls of the limit within this time of each other are in a row.
 FALL_MEMORY_S = 2.0
-# How long a limit beyond the usual one is not tried again after slow answers, and to
-# what part of the usual one it falls at first.
-QUEUE_MEMORY_S = 10.0
-QUEUELESS_SHARE = 0.9
 # Shares of slow answers in a round up to which the limit rises, and beyond which it
 # falls.
 TOLERATED_SLOW_SHARE = 0.1
@@ -56,7 +56,7 @@
 FALL_INTERVAL_S = 0.9
 # A server is failing if at least so many requests failed in a round and this share.
 FAILING_COUNT = 2
-FAILING_SHARE = 0.5
+FAILING_SHARE = 0.8
 FIRST_PAUSE_S = 0.5
 MAX_PAUSE_S = 8.0
 
@@ -81,16 +81,15 @@
     clock.
     """
 
-    __slots__ = ("limit", "phase", "reason", "_usual", "_most", "_round_at")
+    __slots__ = ("limit", "phase", "reason", "_usual", "_round_at")
 
-    def __init__(self, usual, *, most=None):
+    def __init__(self, usual):
         """Begin with the limit of an established server.
 
-        :param usual: the limit of a server of which nothing special is known.
-        :param most: the highest limit; the usual one by default.
+        :param usual: the limit of a server of which nothing special is known, which is
+            the highest as well.
         """
         self._usual = usual
-        self._most = usual if most is None else most
         self.limit = usual
         self.phase = Steady(usual, -math.inf)
         self.reason = Reason.USUAL
@@ -117,10 +116,11 @@
         if isinstance(self.phase, Starting) and limit >= self._usual:
             self.phase = Steady(limit, -math.inf)
 
-    def update(self, evidence, at_work, now):
+    def update(self, evidence, at_work, now, *, others=NO_EVIDENCE):
         """Change the limit as the `Evidence` of the last round shows.
 
         :param at_work: the requests at work, of all daemons.
+        :param others: the `Evidence` of the other servers of its model.
         """
         if now - self._round_at < WINDOW_S:
             return
@@ -137,14 +137,14 @@
             case Starting():
                 self._update_starting(evidence, at_work, now)
             case Steady() as steady:
-                self._update_steady(steady, evidence, at_work, now)
+                self._update_steady(steady, evidence, at_work, now, others)
 
     @property
     def _floor(self):
         return min(self._usual, max(MIN_FLOOR, FLOOR_SHARE * self._usual))
 
     def _set(self, limit, reason):
-        self.limit = min(self._most, limit)
+        self.limit = min(self._usual, limit)
         self.reason = reason
 
     def _fails(self, evidence):
@@ -165,7 +165,7 @@
 
     def _update_starting(self, evidence, at_work, now):
         if self._falls(evidence):
-            self._fall(evidence, at_work, now)
+            self._fall(evidence, at_work, now, floor=self._floor)
         elif evidence.good:
             limit = self._grown(START_GROWTH * self.limit, at_work)
             self._set(limit, Reason.STARTING)
@@ -173,11 +173,13 @@
                 self.phase = Steady(limit, -math.inf)
                 self._set(limit, Reason.GOOD)
 
-    def _update_steady(self, steady, evidence, at_work, now):
+    def _update_steady(self, steady, evidence, at_work, now, others):
         if self._falls(evidence):
             # Answers to requests from before the last fall still show what was then.
             if evidence.rejected or now - steady.slow_seen_at >= FALL_INTERVAL_S:
-                self._fall(evidence, at_work, now)
+                is_common = evidence.bad_share < UNCOMMON_FACTOR * others.bad_share
+                floor = COMMON_FLOOR_SHARE * self._usual if is_common else self._floor
+                self._fall(evidence, at_work, now, floor=min(floor, self.limit))
             return
         if not evidence.good or evidence.slow > TOLERATED_SLOW_SHARE * evidence.total:
             return
@@ -193,8 +195,6 @@
             if is_load_slow and slow_before_s <= SLOW_MEMORY_S:
                 recovered = min(recovered, NEAR_SLOW_SHARE * steady.slow_at)
             limit = max(limit, recovered)
-        if slow_before_s <= QUEUE_MEMORY_S:
-            limit = min(limit, max(self._usual, self.limit))
         self._set(self._grown(limit, at_work), Reason.GOOD)
 
     def _grown(self, limit, at_work):
@@ -208,7 +208,7 @@
         is_slow = bad >= least and bad > SLOW_SHARE * evidence.total
         return is_slow or evidence.rejected
 
-    def _fall(self, evidence, at_work, now):
+    def _fall(self, evidence, at_work, now, *, floor):
         """Lower the limit by a part of the share of answers that were not good."""
         used = min(self.limit, max(at_work, LEAST_USED_SHARE * self.limit))
         falls = 0
@@ -218,11 +218,7 @@
         if evidence.rejected:
             limit, reason = REJECTED_FALL * used, Reason.REJECTS
         else:
-            bad_share = (evidence.slow + evidence.failed) / evidence.total
             part = NEXT_FALL if falls else FIRST_FALL
-            limit, reason = used * (1 - part * bad_share), Reason.SLOW
-        if self.limit > self._usual:
-            # The queue before the slots alone may have made answers slow.
-            limit = max(limit, QUEUELESS_SHARE * self._usual)
+            limit, reason = used * (1 - part * evidence.bad_share), Reason.SLOW
         self.phase = Steady(self.limit, now, falls + 1)
-        self._set(max(self._floor, limit), reason)
+        self._set(max(floor, limit), reason)
--- a/pimentogap/placement/_choice.py
+++ b/pimentogap/placement/_choice.py
@@ -26,7 +26,9 @@
         at_work = [load.expected_requests(now) for load in loads]
         return choose_of_two(at_work, limits, random)
     kept_share = flow.kept_share(age_s)
-    at_work = [load.in_flight + kept_share * load.others for load in loads]
+    at_work = [
+        load.in_flight + load.hidden + kept_share * load.others for load in loads
+    ]
     return choose_by_level(at_work, limits, flow.others_since(age_s), random)
 
 
--- a/pimentogap/placement/_loads.py
+++ b/pimentogap/placement/_loads.py
@@ -1,6 +1,7 @@
 """A daemon's estimate of the load and the health of one backend server."""
 
 import math
+from collections import deque
 
 from pimentogap.pace import AnswerWindow, Sign
 
@@ -13,6 +14,8 @@
 FULL_SHARE = 0.85
 # What other daemons stated of their requests goes before load reports for this long.
 OTHERS_LIFETIME_S = 1.5
+REPORT_WINDOW_S = 0.5
+MAX_HIDDEN_SHARE = 0.5
 # Half-life of the weight of a load report; about the time that a stream runs.
 REPORT_HALF_LIFE_S = 1.5
 # How long a backend server is left out after a first failure to answer. The time
@@ -24,12 +27,36 @@
 MAX_QUIET_S = 60.0
 
 
+class ReportWindow:
+    """How far load reports of the last `REPORT_WINDOW_S` exceeded what was stated."""
+
+    __slots__ = ("_surpluses",)
+
+    def __init__(self):
+        self._surpluses = deque()
+
+    def record(self, surplus, now):
+        """Record that a report shows ``surplus`` requests more, or less."""
+        self._surpluses.append((now, surplus))
+        self._forget_old(now)
+
+    def surplus(self, now):
+        """Return the sum of the surpluses and their number."""
+        self._forget_old(now)
+        return sum(surplus for _, surplus in self._surpluses), len(self._surpluses)
+
+    def _forget_old(self, now):
+        while self._surpluses and self._surpluses[0][0] <= now - REPORT_WINDOW_S:
+            self._surpluses.popleft()
+
+
 class BackendLoad:
     """Requests in flight, the last load report, and suspicion of a failure.
 
     Times are in seconds of the runtime's clock; ``slots`` is how many requests the
     backend server runs at once, and ``limit`` how many of all daemons it may have.
-    ``others`` is what the other daemons last stated of theirs.
+    ``others`` is what the other daemons last stated of theirs, ``hidden`` an estimate
+    of those that no daemon waits for any more.
     """
 
     __slots__ = (
@@ -47,6 +74,8 @@
         "progress_at",
         "_quiet_until",
         "answers",
+        "reports",
+        "hidden",
     )
 
     def __init__(self, backend_id, slots, *, limit=None):
@@ -64,6 +93,8 @@
         self.progress_at = -math.inf
         self._quiet_until = -math.inf
         self.answers = AnswerWindow()
+        self.reports = ReportWindow()
+        self.hidden = 0.0
 
     def record_first_event(self, waited_s, slow_after_s, now):
         """Record the wait for an answer, or for the first event of a stream.
@@ -103,8 +134,26 @@
         self.others = at_work
         self._others_known_at = known_at
 
+    def record_hidden(self, surplus, now):
+        """Estimate the requests that run there although no daemon waits for them.
+
+        A server goes on for a while with one whose caller has left.
+
+        :param surplus: by how many requests the reports to other daemons exceeded what
+            was stated, as a sum, and the number of reports.
+        """
+        own_sum, own_count = self.reports.surplus(now)
+        others_sum, others_count = surplus
+        count = own_count + others_count
+        mean = (own_sum + others_sum) / count if count else 0.0
+        # Reports that are wrong must not close a server for good.
+        self.hidden = min(max(0.0, mean), MAX_HIDDEN_SHARE * self.slots)
+
     def record_report(self, load, now):
         """Record the `EngineLoad` that came with an answer."""
+        if now - self._others_known_at <= OTHERS_LIFETIME_S:
+            surplus = load.running + load.waiting - self.in_flight - self.others
+            self.reports.record(max(-self.slots, min(self.slots, surplus)), now)
         self._reported_requests = load.running + load.waiting
         self._reported_at = now
         self._in_flight_at_report = self.in_flight
@@ -141,7 +190,7 @@
         decays with the age of the report.
         """
         if now - self._others_known_at <= OTHERS_LIFETIME_S:
-            return self.in_flight + self.others
+            return self.in_flight + self.others + self.hidden
         others = max(0, self._reported_requests - self._in_flight_at_report)
         if others:
             others *= 0.5 ** ((now - self._reported_at) / REPORT_HALF_LIFE_S)
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -24,8 +24,8 @@
 # Backend servers whose estimated load exceeds the least by at most this many
 # requests count as equally loaded.
 EQUAL_LOAD_REQUESTS = 0.75
-# The same for a group whose answers are in time.
-MAX_GROUP_REQUESTS_PER_SLOT = 1.25
+# The same for a group, in which a request that waits for a slot is late.
+MAX_GROUP_REQUESTS_PER_SLOT = 1.0
 # The limit of each backend server, exported by each daemon.
 PACE_GAUGE = "pace_limit"
 PRUNE_INTERVAL_S = 10.0
@@ -158,7 +158,12 @@
             for key, load in self.loads_by_key.items()
             if (evidence := load.answers.evidence(now)).total
         }
-        return Counts(at_work_by_key, flows, 1, signs_by_key)
+        hidden_by_key = {
+            _key_text(key): surplus
+            for key, load in self.loads_by_key.items()
+            if (surplus := load.reports.surplus(now))[1]
+        }
+        return Counts(at_work_by_key, flows, 1, signs_by_key, hidden_by_key)
 
     def _hear(self, others):
         """Take over what all other daemons state of their requests."""
@@ -168,6 +173,8 @@
         for key, load in self.loads_by_key.items():
             at_work = others.counts.at_work_by_key.get(_key_text(key), 0)
             load.record_others(at_work, now)
+            hidden = others.counts.hidden_by_key.get(_key_text(key), (0, 0))
+            load.record_hidden(hidden, now)
         for key, flow in self._flows_by_model.items():
             counts = others.counts.flows_by_model.get(_key_text(key), (0, 0))
             at_work = sum(
@@ -357,9 +364,8 @@
 def _room(backend, model=None):
     """Return the `Room` of a backend server: a group's slots, or more than those."""
     if backend.membership is None:
-        most = MAX_REQUESTS_PER_SLOT * backend.slots
-        return Room(model, most, most)
-    return Room(model, backend.slots, MAX_GROUP_REQUESTS_PER_SLOT * backend.slots)
+        return Room(model, MAX_REQUESTS_PER_SLOT * backend.slots)
+    return Room(model, MAX_GROUP_REQUESTS_PER_SLOT * backend.slots)
 
 
 def _load_key(backend):
--- a/standins/pacing.py
+++ b/standins/pacing.py
@@ -107,7 +107,7 @@
     def __init__(self, slots, troubles):
         self._slots = slots
         self._troubles = troubles
-        self._room = Room(None, slots, 1.25 * slots)
+        self._room = Room(None, slots)
         self._book = PaceBook()
         self._window = AnswerWindow()
         self._history = deque()
