--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -77,3 +77,12 @@
     Given 18 servers with 24 slots that are listed and answer well
     When 0.3 of all answers are slow for 10 seconds, and all of one server
     Then the limit of that one is at most 3, and of each other one at least 18
+
+  # Guards against: a limit of nothing that was taken over stays, since no answers come.
+  Scenario: A daemon whose relay stopped a server tries it again on its own
+    Given 18 servers with 24 slots that are listed and answer well
+    When a relay says that nothing may be sent to one of them, and is lost
+    And 1 second passes without a request to it
+    Then the limit of that one is 1
+    When it answers well for 3 seconds
+    Then the limit of that one is 24
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -214,3 +214,28 @@
     limits = context.book.limits_by_key()
     assert limits.pop(context.slowest) <= most, limits
     assert min(limits.values()) >= least, limits
+
+
+@when("a relay says that nothing may be sent to one of them, and is lost")
+def when_told_nothing(context):
+    context.slowest = next(iter(context.rooms))
+    context.book.follow(context.slowest, 0.0, context.now)
+    assert context.book.limits_by_key()[context.slowest] == 0
+
+
+@when("{seconds:g} second passes without a request to it")
+def when_no_request(context, seconds):
+    for _ in range(round(seconds / TICK_S)):
+        context.now += TICK_S
+        context.book.record_listed(context.rooms, context.now)
+        context.book.update(context.slowest, Evidence(), 0, context.now)
+
+
+@when("it answers well for {seconds:g} seconds")
+def when_it_answers(context, seconds):
+    pass_time(context, seconds, context.rooms)
+
+
+@then("the limit of that one is {limit:g}")
+def then_limit_of_one(context, limit):
+    assert context.book.limits_by_key()[context.slowest] == limit
--- a/pimentogap/pace/_book.py
+++ b/pimentogap/pace/_book.py
@@ -113,11 +113,11 @@
         self._evidence_by_key[key] = evidence
         self._evidence_by_model[self._models_by_key[key]] = of_model - before + evidence
 
-    def follow(self, key, limit):
+    def follow(self, key, limit, now):
         """Take over the limit of a server that a relay has found."""
         pace = self.paces_by_key.get(key)
         if pace is not None:
-            pace.follow(limit)
+            pace.follow(limit, now)
 
     def limits_by_key(self):
         """Return the limit of each server."""
--- a/pimentogap/pace/_server.py
+++ b/pimentogap/pace/_server.py
@@ -109,12 +109,20 @@
         self.phase = Starting()
         self._set(max(self._floor, share * self._usual), Reason.STARTING)
 
-    def follow(self, limit):
+    def follow(self, limit, now):
         """Take over the limit that a daemon with more evidence has found."""
         if limit != self.limit:
             self._set(limit, Reason.TOLD)
-        if isinstance(self.phase, Starting) and limit >= self._usual:
-            self.phase = Steady(limit, -math.inf)
+        match self.phase:
+            case Failing() if limit >= 1.0:
+                self.phase = Steady(limit, now)
+            case Failing():
+                pass
+            case _ if limit < 1.0:
+                # Tried again from here on if no other daemon decides any more.
+                self.phase = Failing(now + FIRST_PAUSE_S, FIRST_PAUSE_S)
+            case Starting() if limit >= self._usual:
+                self.phase = Steady(limit, -math.inf)
 
     def update(self, evidence, at_work, now, *, others=NO_EVIDENCE):
         """Change the limit as the `Evidence` of the last round shows.
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -182,7 +182,7 @@
             )
             flow.record_others(counts, at_work, now)
         for key, limit in others.limits_by_key.items():
-            self._paces.follow(key, limit)
+            self._paces.follow(key, limit, now)
 
     def _update_pace(self, now):
         """Find the pace of each listed backend server, or take the relays'.
