Lower the pace of a server only if it is slower than the others of its model

Also, servers that are listed again unchanged begin at half, and a daemon takes what is listed in its first 10 s for established: after the power loss of all daemons the groups had begun at a quarter.

--- a/features/platform/pace.feature
+++ b/features/platform/pace.feature
@@ -43,12 +43,19 @@
   Scenario: A zone of servers that comes back begins low beside the others
     Given 18 servers with 24 slots that are listed and answer well
     When 6 of them are away for 5 seconds and come back
+    Then the limit of each of the 6 is 12, and of each other one at least 24
+    When 3 seconds pass and all servers answer well
+    Then the limit of each of the 6 is at least 24, and of each other one at least 24
+
+  Scenario: A zone of servers that has started again begins lower still
+    Given 18 servers with 24 slots that are listed and answer well
+    When 6 of them are away for 5 seconds and come back as new incarnations
     Then the limit of each of the 6 is 6, and of each other one at least 24
     When 3 seconds pass and all servers answer well
     Then the limit of each of the 6 is at least 24, and of each other one at least 24
 
-  Scenario: Nothing is held back if no server is established
-    Given a daemon that has run for 10 seconds without servers
+  Scenario: Little is held back if no server is established
+    Given a daemon that has run for 20 seconds without servers
     When 4 servers with 24 slots are listed at once
     Then the limit of each is 12
 
@@ -73,10 +80,10 @@
 
   # Guards against: an overload of all groups shrinks their batches, so that still fewer
   # requests are served.
-  Scenario: Servers that are all slow keep most of their slots, one that is slower does not
+  Scenario: Servers that are all slow keep their slots, one that is slower does not
     Given 18 servers with 24 slots that are listed and answer well
     When 0.3 of all answers are slow for 10 seconds, and all of one server
-    Then the limit of that one is at most 3, and of each other one at least 18
+    Then the limit of that one is at most 3, and of each other one at least 24
 
   # Guards against: a limit of nothing that was taken over stays, since no answers come.
   Scenario: A daemon whose relay stopped a server tries it again on its own
--- a/features/steps/pace_steps.py
+++ b/features/steps/pace_steps.py
@@ -96,7 +96,7 @@
     context.now = 0.0
     context.book = PaceBook()
     context.rooms = {f"server-{index}": Room("model", slots) for index in range(count)}
-    pass_time(context, 5.0, context.rooms)
+    pass_time(context, 12.0, context.rooms)
 
 
 def pass_time(context, seconds, rooms):
@@ -104,10 +104,17 @@
     for _ in range(round(seconds / TICK_S)):
         context.now += TICK_S
         context.book.record_listed(rooms, context.now)
-        for key, room in rooms.items():
-            limit = context.book.limit(key, room)
-            evidence = Evidence(good=max(1, int(limit / 2)))
-            context.book.update(key, evidence, limit, context.now)
+        limits = {key: context.book.limit(key, room) for key, room in rooms.items()}
+        context.book.record_evidence(
+            {key: Evidence(good=max(1, int(limits[key] / 2))) for key in rooms}
+        )
+        for key in rooms:
+            context.book.update(key, limits[key], context.now)
+
+
+def listed_limits(context):
+    """Return the limits of the servers that are listed now."""
+    return {key: context.book.limit(key, room) for key, room in context.rooms.items()}
 
 
 @when("{count:d} of them are away for {seconds:g} seconds and come back")
@@ -121,6 +128,20 @@
     context.book.record_listed(context.rooms, context.now)
 
 
+@when(
+    "{count:d} of them are away for {seconds:g} seconds"
+    " and come back as new incarnations"
+)
+def when_started_again(context, count, seconds):
+    left = dict(list(context.rooms.items())[count:])
+    room = next(iter(context.rooms.values()))
+    pass_time(context, seconds, left)
+    context.returned = [f"server-{index}-again" for index in range(count)]
+    context.rooms = left | dict.fromkeys(context.returned, room)
+    context.now += TICK_S
+    context.book.record_listed(context.rooms, context.now)
+
+
 @when("{seconds:g} seconds pass and all servers answer well")
 def when_all_answer(context, seconds):
     pass_time(context, seconds, context.rooms)
@@ -131,7 +152,7 @@
     " and of each other one at least {least:g}"
 )
 def then_limits(context, count, limit, least):
-    limits = context.book.limits_by_key()
+    limits = listed_limits(context)
     assert len(context.returned) == count
     assert {limits[key] for key in context.returned} == {limit}, limits
     assert min(limits[key] for key in limits if key not in context.returned) >= least
@@ -142,7 +163,7 @@
     " and of each other one at least {least:g}"
 )
 def then_limits_at_least(context, count, limit, least):
-    limits = context.book.limits_by_key()
+    limits = listed_limits(context)
     assert min(limits[key] for key in context.returned) >= limit, limits
     assert min(limits[key] for key in limits if key not in context.returned) >= least
 
@@ -199,11 +220,14 @@
     for _ in range(round(seconds / TICK_S)):
         context.now += TICK_S
         context.book.record_listed(context.rooms, context.now)
+        slow = dict.fromkeys(context.rooms, round(share * 10))
+        slow[context.slowest] = 10
+        context.book.record_evidence(
+            {key: Evidence(good=10 - slow[key], slow=slow[key]) for key in slow}
+        )
         for key, room in context.rooms.items():
             limit = context.book.limit(key, room)
-            slow = 10 if key == context.slowest else round(share * 10)
-            evidence = Evidence(good=10 - slow, slow=slow)
-            context.book.update(key, evidence, limit, context.now)
+            context.book.update(key, limit, context.now)
 
 
 @then(
@@ -228,7 +252,8 @@
     for _ in range(round(seconds / TICK_S)):
         context.now += TICK_S
         context.book.record_listed(context.rooms, context.now)
-        context.book.update(context.slowest, Evidence(), 0, context.now)
+        context.book.record_evidence(dict.fromkeys(context.rooms, Evidence()))
+        context.book.update(context.slowest, 0, context.now)
 
 
 @when("it answers well for {seconds:g} seconds")
--- a/pimentogap/pace/_book.py
+++ b/pimentogap/pace/_book.py
@@ -7,7 +7,7 @@
 from pimentogap.pace._server import ServerPace
 
 # Servers that are listed when the daemon has just started count as established.
-FIRST_LIST_S = 3.0
+FIRST_LIST_S = 10.0
 # A server that was not listed for this long begins again.
 ABSENCE_S = 1.0
 FORGET_S = 30.0
@@ -70,6 +70,7 @@
             self._listed_at_by_key = dict.fromkeys(self._listed_at_by_key, now)
         self._listed_at = now
         new = []
+        returned = set()
         for key, room in rooms_by_key.items():
             if key not in self.paces_by_key:
                 self.paces_by_key[key] = ServerPace(room.usual)
@@ -77,8 +78,9 @@
                     new.append(key)
             elif now - self._listed_at_by_key.get(key, now) > ABSENCE_S:
                 new.append(key)
+                returned.add(key)
             self._listed_at_by_key[key] = now
-        self._add_up_evidence(rooms_by_key)
+        self._models_by_key = {key: room.model for key, room in rooms_by_key.items()}
         established = {
             room.model
             for key, room in rooms_by_key.items()
@@ -86,7 +88,7 @@
         }
         for key in new:
             is_lone = rooms_by_key[key].model not in established
-            self.paces_by_key[key].start(is_lone=is_lone)
+            self.paces_by_key[key].start(is_known=is_lone or key in returned)
 
     def forget_unlisted(self, now):
         """Forget the servers that have not been listed for a long time."""
@@ -94,24 +96,21 @@
             if now - listed_at > FORGET_S:
                 del self._listed_at_by_key[key]
                 self.paces_by_key.pop(key, None)
-                self._evidence_by_key.pop(key, None)
 
-    def _add_up_evidence(self, rooms_by_key):
-        """Add up the evidence of the listed servers by their models."""
-        self._models_by_key = {key: room.model for key, room in rooms_by_key.items()}
+    def record_evidence(self, evidence_by_key):
+        """Record the latest `Evidence` of all listed servers by key."""
+        self._evidence_by_key = evidence_by_key
         self._evidence_by_model = {}
-        for key, model in self._models_by_key.items():
-            sum_ = self._evidence_by_model.get(model, NO_EVIDENCE)
-            evidence = self._evidence_by_key.get(key, NO_EVIDENCE)
-            self._evidence_by_model[model] = sum_ + evidence
-
-    def update(self, key, evidence, at_work, now):
-        """Change the limit of a listed server as the `Evidence` shows."""
-        before = self._evidence_by_key.get(key, NO_EVIDENCE)
-        of_model = self._evidence_by_model[self._models_by_key[key]]
-        self.paces_by_key[key].update(evidence, at_work, now, others=of_model - before)
-        self._evidence_by_key[key] = evidence
-        self._evidence_by_model[self._models_by_key[key]] = of_model - before + evidence
+        for key, evidence in evidence_by_key.items():
+            model = self._models_by_key[key]
+            of_model = self._evidence_by_model.get(model, NO_EVIDENCE)
+            self._evidence_by_model[model] = of_model + evidence
+
+    def update(self, key, at_work, now):
+        """Change the limit of a listed server as its evidence shows."""
+        evidence = self._evidence_by_key[key]
+        others = self._evidence_by_model[self._models_by_key[key]] - evidence
+        self.paces_by_key[key].update(evidence, at_work, now, others=others)
 
     def follow(self, key, limit, now):
         """Take over the limit of a server that a relay has found."""
--- a/pimentogap/pace/_server.py
+++ b/pimentogap/pace/_server.py
@@ -14,9 +14,10 @@
 from pimentogap.pace._evidence import NO_EVIDENCE, WINDOW_S
 from pimentogap.pace._phases import Failing, Starting, Steady, Tried
 
-# Share of the usual limit with which a server starts, and if no other is established.
+# Share of the usual limit with which a server starts, and one that was only away or has
+# no other beside it.
 START_SHARE = 0.25
-LONE_START_SHARE = 0.5
+KNOWN_START_SHARE = 0.5
 # Least limit of a server that answers, as a share of the usual one.
 FLOOR_SHARE = 0.125
 MIN_FLOOR = 2.0
@@ -25,9 +26,7 @@
 MAX_UNTRIED_GROWTH = 3.0
 # Requests at work, as a share of the limit, from which the limit counts as used.
 USED_SHARE = 0.7
-# Least limit of a server that is slow as all of its model are. A share of slow answers
-# this many times that of the others is its own.
-COMMON_FLOOR_SHARE = 0.75
+# A share of slow answers this many times that of the others of its model is its own.
 UNCOMMON_FACTOR = 2.0
 STEP_SHARE = 1 / 16
 # Growth once the answers at a limit were good for some rounds, far from the limit at
@@ -100,12 +99,13 @@
         """Whether the server has shown what it bears."""
         return isinstance(self.phase, Steady)
 
-    def start(self, *, is_lone=False):
+    def start(self, *, is_known=False):
         """Begin low, since the server has just come (back).
 
-        :param is_lone: whether no other server for its model is established.
+        :param is_known: whether it may be established after all, or no other server
+            for its model is.
         """
-        share = LONE_START_SHARE if is_lone else START_SHARE
+        share = KNOWN_START_SHARE if is_known else START_SHARE
         self.phase = Starting()
         self._set(max(self._floor, share * self._usual), Reason.STARTING)
 
@@ -173,7 +173,7 @@
 
     def _update_starting(self, evidence, at_work, now):
         if self._falls(evidence):
-            self._fall(evidence, at_work, now, floor=self._floor)
+            self._fall(evidence, at_work, now)
         elif evidence.good:
             limit = self._grown(START_GROWTH * self.limit, at_work)
             self._set(limit, Reason.STARTING)
@@ -184,10 +184,10 @@
     def _update_steady(self, steady, evidence, at_work, now, others):
         if self._falls(evidence):
             # Answers to requests from before the last fall still show what was then.
-            if evidence.rejected or now - steady.slow_seen_at >= FALL_INTERVAL_S:
-                is_common = evidence.bad_share < UNCOMMON_FACTOR * others.bad_share
-                floor = COMMON_FLOOR_SHARE * self._usual if is_common else self._floor
-                self._fall(evidence, at_work, now, floor=min(floor, self.limit))
+            is_new = now - steady.slow_seen_at >= FALL_INTERVAL_S
+            is_own = evidence.bad_share >= UNCOMMON_FACTOR * others.bad_share
+            if evidence.rejected or (is_new and is_own):
+                self._fall(evidence, at_work, now)
             return
         if not evidence.good or evidence.slow > TOLERATED_SLOW_SHARE * evidence.total:
             return
@@ -216,7 +216,7 @@
         is_slow = bad >= least and bad > SLOW_SHARE * evidence.total
         return is_slow or evidence.rejected
 
-    def _fall(self, evidence, at_work, now, *, floor):
+    def _fall(self, evidence, at_work, now):
         """Lower the limit by a part of the share of answers that were not good."""
         used = min(self.limit, max(at_work, LEAST_USED_SHARE * self.limit))
         falls = 0
@@ -229,4 +229,4 @@
             part = NEXT_FALL if falls else FIRST_FALL
             limit, reason = used * (1 - part * evidence.bad_share), Reason.SLOW
         self.phase = Steady(self.limit, now, falls + 1)
-        self._set(max(floor, limit), reason)
+        self._set(max(min(self._floor, self.limit), limit), reason)
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -201,13 +201,18 @@
         is_known = now - self._others_known_at <= OTHERS_LIFETIME_S
         decides = not is_known or self._kernel.get("daemons").is_relay()
         signs_by_key = self._others.counts.signs_by_key if is_known else {}
+        if decides:
+            self._paces.record_evidence(
+                {
+                    key: self.load(backend).answers.evidence(now)
+                    + Evidence(*signs_by_key.get(key, ()))
+                    for key, backend in backends_by_key.items()
+                }
+            )
         for key, backend in backends_by_key.items():
             load = self.load(backend)
             if decides:
-                others = Evidence(*signs_by_key.get(key, ()))
-                evidence = load.answers.evidence(now) + others
-                at_work = load.expected_requests(now)
-                self._paces.update(key, evidence, at_work, now)
+                self._paces.update(key, load.expected_requests(now), now)
             self._set_limit(backend, load, self._paces.paces_by_key[key])
 
     def _set_limit(self, backend, load, pace):
