--- a/pimentogap/pace/_book.py
+++ b/pimentogap/pace/_book.py
@@ -3,10 +3,11 @@
 import math
 from dataclasses import dataclass
 
+from pimentogap.pace._evidence import NO_EVIDENCE
 from pimentogap.pace._server import ServerPace
 
 # Servers that are listed when the daemon has just started count as established.
-FIRST_LIST_S = 3.0
+FIRST_LIST_S = 10.0
 # A server that was not listed for this long begins again.
 ABSENCE_S = 1.0
 FORGET_S = 30.0
@@ -14,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Room:
-    """The limits of a server: ``usual`` if nothing special is known, ``most`` at best.
+    """The ``usual`` limit of a server, which is the highest as well.
 
     Servers with the same ``model``, any value that identifies one, can serve in place
     of each other.
@@ -22,7 +23,6 @@
 
     model: tuple | None
     usual: float
-    most: float
 
 
 class PaceBook:
@@ -31,13 +31,24 @@
     Times are in seconds of the runtime's clock.
     """
 
-    __slots__ = ("paces_by_key", "_listed_at_by_key", "_listed_at", "_began_at")
+    __slots__ = (
+        "paces_by_key",
+        "_listed_at_by_key",
+        "_listed_at",
+        "_began_at",
+        "_evidence_by_key",
+        "_evidence_by_model",
+        "_models_by_key",
+    )
 
     def __init__(self):
         self.paces_by_key = {}
         self._listed_at_by_key = {}
         self._listed_at = -math.inf
         self._began_at = None
+        self._evidence_by_key = {}
+        self._evidence_by_model = {}
+        self._models_by_key = {}
 
     def limit(self, key, room):
         """Return the limit of the server ``key``, which may not be listed yet.
@@ -59,14 +70,17 @@
             self._listed_at_by_key = dict.fromkeys(self._listed_at_by_key, now)
         self._listed_at = now
         new = []
+        returned = set()
         for key, room in rooms_by_key.items():
             if key not in self.paces_by_key:
-                self.paces_by_key[key] = ServerPace(room.usual, most=room.most)
+                self.paces_by_key[key] = ServerPace(room.usual)
                 if now - self._began_at >= FIRST_LIST_S:
                     new.append(key)
             elif now - self._listed_at_by_key.get(key, now) > ABSENCE_S:
                 new.append(key)
+                returned.add(key)
             self._listed_at_by_key[key] = now
+        self._models_by_key = {key: room.model for key, room in rooms_by_key.items()}
         established = {
             room.model
             for key, room in rooms_by_key.items()
@@ -74,7 +88,7 @@
         }
         for key in new:
             is_lone = rooms_by_key[key].model not in established
-            self.paces_by_key[key].start(is_lone=is_lone)
+            self.paces_by_key[key].start(is_known=is_lone or key in returned)
 
     def forget_unlisted(self, now):
         """Forget the servers that have not been listed for a long time."""
@@ -83,15 +97,26 @@
                 del self._listed_at_by_key[key]
                 self.paces_by_key.pop(key, None)
 
-    def update(self, key, evidence, at_work, now):
-        """Change the limit of a listed server as the `Evidence` shows."""
-        self.paces_by_key[key].update(evidence, at_work, now)
-
-    def follow(self, key, limit):
+    def record_evidence(self, evidence_by_key):
+        """Record the latest `Evidence` of all listed servers by key."""
+        self._evidence_by_key = evidence_by_key
+        self._evidence_by_model = {}
+        for key, evidence in evidence_by_key.items():
+            model = self._models_by_key[key]
+            of_model = self._evidence_by_model.get(model, NO_EVIDENCE)
+            self._evidence_by_model[model] = of_model + evidence
+
+    def update(self, key, at_work, now):
+        """Change the limit of a listed server as its evidence shows."""
+        evidence = self._evidence_by_key[key]
+        others = self._evidence_by_model[self._models_by_key[key]] - evidence
+        self.paces_by_key[key].update(evidence, at_work, now, others=others)
+
+    def follow(self, key, limit, now):
         """Take over the limit of a server that a relay has found."""
         pace = self.paces_by_key.get(key)
         if pace is not None:
-            pace.follow(limit)
+            pace.follow(limit, now)
 
     def limits_by_key(self):
         """Return the limit of each server."""
