--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -9,6 +9,7 @@
 
 from logbook import Logger
 
+from pimentogap.admission import AdmissionService
 from pimentogap.alarms import AlarmService
 from pimentogap.calls import CallService
 from pimentogap.directory import (
@@ -26,6 +27,7 @@
 from pimentogap.kernel import Kernel
 from pimentogap.logs import install_decision_log
 from pimentogap.metrics import LoopHolds, MetricService, measured_event_loop
+from pimentogap.occupancy import OccupancyService
 from pimentogap.pauses import PauseService
 from pimentogap.peers.grpc import GrpcTransport
 from pimentogap.permits import PermitService
@@ -143,7 +145,9 @@
         PermitService(
             cold_overrun=settings.cold_overrun, cold_slack=settings.cold_slack
         ),
-        PlacementService(),
+        OccupancyService(settings.id, enabled=settings.shares_pools),
+        PlacementService(shares_pools=settings.shares_pools),
+        AdmissionService(settings),
         QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
