--- a/features/platform/shared_load.feature
+++ b/features/platform/shared_load.feature
@@ -55,3 +55,14 @@
       | 10     | 16         | 16       |
       | 10     | 4          | 10       |
       | 10     | 1000000000 | 22       |
+
+  Scenario: Daemons that share pools serve streams and know of each other
+    Given a platform of shared pools with 1 fabric domains of 8 replicas and 3 daemons
+    And its groups are open
+    And a first request has been answered
+    When 4 streams of model small arrive each second at all daemons for 10 seconds
+    And 3 seconds pass
+    Then the last 40 streams are complete, with each event exactly once
+    And each daemon knows the requests of 2 others, and the pace of each head
+    When every other daemon is killed and 2 seconds pass
+    Then the daemon that is left knows of no others
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,6 +26,19 @@
     context.simulation.fleet = context.simulation.run(start())
 
 
+@given(
+    "a platform of shared pools with {domains:d} fabric domains of {size:d} replicas"
+    " and {daemons:d} daemons"
+)
+def given_shared_pools(context, domains, size, daemons):
+    async def start():
+        fleet = EmulatedFleet(contracts=("pool",))
+        await fleet.start(daemons=daemons, domains=domains, domain_size=size)
+        return fleet
+
+    context.simulation.fleet = context.simulation.run(start())
+
+
 @given("its groups are open")
 def given_open(context):
     context.simulation.wait(FORMATION_LIMIT_S)
--- a/features/steps/shared_load_steps.py
+++ b/features/steps/shared_load_steps.py
@@ -281,3 +281,33 @@
 @then("{expected:d} requests are expected there")
 def then_expected(context, expected):
     assert context.load.expected_requests(0.1) == expected
+
+
+@then("each daemon knows the requests of {count:d} others, and the pace of each head")
+def then_pools_known(context, count):
+    fleet = context.simulation.fleet
+    heads = {head.id for head in fleet.open_group_heads("small")}
+    for kernel in fleet.kernels_by_name.values():
+        gauges = kernel.get("metrics").gauges_by_series
+        values = {series.name: value for series, value in gauges.items()}
+        assert values["occupancy_daemons"] == count, values
+        paced = {s.backend for s in gauges if s.name == "pace_limit"}
+        assert heads <= paced, (heads, paced)
+
+
+@when("every other daemon is killed and {seconds:g} seconds pass")
+def when_others_killed(context, seconds):
+    fleet = context.simulation.fleet
+    _, *others = sorted(fleet.kernels_by_name, reverse=True)
+    for name in others:
+        context.simulation.run(fleet.kill_daemon(name))
+    context.simulation.wait(seconds)
+
+
+@then("the daemon that is left knows of no others")
+def then_knows_of_none(context):
+    (kernel,) = context.simulation.fleet.kernels_by_name.values()
+    gauges = kernel.get("metrics").gauges_by_series
+    values = {series.name: value for series, value in gauges.items()}
+    assert values["occupancy_daemons"] == 0, values
+    assert values["occupancy_age_seconds"] > 1.5, values
--- a/pimentogap/occupancy/_service.py
+++ b/pimentogap/occupancy/_service.py
@@ -1,5 +1,6 @@
 """The service that exchanges the daemons' requests at work by way of the relays."""
 
+import math
 from dataclasses import replace
 
 from logbook import Logger
@@ -7,7 +8,7 @@
 from pimentogap.errors import InvalidStatement, PeerUnreachable, ResponseLost
 from pimentogap.kernel import RestartOnError
 from pimentogap.metrics import Series
-from pimentogap.occupancy._book import Counts, OccupancyBook
+from pimentogap.occupancy._book import Counts, OccupancyBook, Others
 from pimentogap.occupancy._messages import (
     dump_counts,
     dump_others,
@@ -25,6 +26,8 @@
 # Each pause differs by up to this share, so that daemons do not keep in step.
 JITTER = 0.2
 CALL_TIMEOUT_S = 0.5
+# What was heard longer ago is not known any more.
+HEARD_LIFETIME_S = 1.5
 # A relay that failed is not told for this long, if there is another.
 RELAY_COOLDOWN_S = 2.0
 # The age of what is known of other daemons, exported by each daemon.
@@ -51,6 +54,8 @@
         "_tell",
         "_hear",
         "_limits",
+        "_heard",
+        "_heard_at",
         "_cooldown_until_by_relay",
         "_swapping_with",
     )
@@ -69,6 +74,8 @@
         self._tell = lambda: Counts(daemons=1)
         self._hear = None
         self._limits = dict
+        self._heard = Others(Counts(), 0.0)
+        self._heard_at = -math.inf
         self._cooldown_until_by_relay = {}
         self._swapping_with = set()
 
@@ -113,14 +120,22 @@
                 self._pass_on(self._book.others(self._id, now))
             else:
                 await self._tell_relay(own)
+            self._export()
 
     def _pass_on(self, others):
-        metrics = self._kernel.get("metrics")
-        metrics.set_gauge(Series(AGE_GAUGE, "-", "-"), others.age_s)
-        metrics.set_gauge(Series(DAEMONS_GAUGE, "-", "-"), others.counts.daemons)
+        self._heard = others
+        self._heard_at = self._kernel.clock.time()
         if self._hear is not None:
             self._hear(others)
 
+    def _export(self):
+        """Export the number of daemons that are known of, and the age of that."""
+        age_s = self._kernel.clock.time() - self._heard_at + self._heard.age_s
+        daemons = self._heard.counts.daemons if age_s <= HEARD_LIFETIME_S else 0
+        metrics = self._kernel.get("metrics")
+        metrics.set_gauge(Series(AGE_GAUGE, "-", "-"), age_s)
+        metrics.set_gauge(Series(DAEMONS_GAUGE, "-", "-"), daemons)
+
     async def _tell_relay(self, own):
         address = self._choose_relay()
         if address is None:
--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -124,10 +124,11 @@
         "frozen_addresses",
         "_call_handlers_by_address",
         "_seed",
+        "_contracts",
         "_request_count",
     )
 
-    def __init__(self, *, seed=0):
+    def __init__(self, *, seed=0, contracts=()):
         self.network = EmulatedNetwork()
         self.store = ObjectStore(seed=seed)
         self.records = Records()
@@ -138,6 +139,7 @@
         self.frozen_addresses = set()
         self._call_handlers_by_address = {}
         self._seed = seed
+        self._contracts = contracts
         self._request_count = 0
         self.network.handlers_by_address[STORE_ADDRESS] = self.store
 
@@ -196,6 +198,7 @@
         """
         document = settings_document(name, zone=zone, ip=name, store=STORE_ADDRESS)
         document["bootstrap"] = first_start
+        document["contracts"] = list(self._contracts)
         settings = load_platform_settings(yaml.safe_dump(document))
         client = self.network.client(name)
         kernel = assemble_front(
