--- a/standins/emulator/_fleet.py
+++ b/standins/emulator/_fleet.py
@@ -124,16 +124,18 @@
         "frozen_addresses",
         "_call_handlers_by_address",
         "_seed",
+        "_contracts",
         "_request_count",
         "bounds",
         "distinct_seeds",
     )
 
-    def __init__(self, *, seed=0, bounds=None, distinct_seeds=False):
+    def __init__(self, *, seed=0, bounds=None, distinct_seeds=False, contracts=()):
         """Create an empty fleet.
 
         :param bounds: figures that the settings of daemons name besides the usual ones.
         :param distinct_seeds: whether each daemon makes other random choices.
+        :param contracts: the parts of the rules that the settings say are in force.
         """
         self.bounds = bounds or {}
         self.distinct_seeds = distinct_seeds
@@ -147,6 +149,7 @@
         self.frozen_addresses = set()
         self._call_handlers_by_address = {}
         self._seed = seed
+        self._contracts = contracts
         self._request_count = 0
         self.network.handlers_by_address[STORE_ADDRESS] = self.store
 
@@ -210,6 +213,7 @@
         document = settings_document(name, zone=zone, ip=name, store=STORE_ADDRESS)
         document["bootstrap"] = first_start
         document["bounds"].update(self.bounds)
+        document["contracts"] = list(self._contracts)
         settings = load_platform_settings(yaml.safe_dump(document))
         client = self.network.client(name)
         kernel = assemble_front(
