Tell the leader's lease with the changes that daemons ask for

Now the answer to a daemon that asks for changes names the lease as the answerer knows it, and only relays read it in calm. Others read it if they hear of no renewal for 1.6 s (candidates) or 4 s, or if the leader can't be reached. What is told was in the store before, so it expires here no earlier than if it had been read, and a daemon reads the lease before it takes it. Relays go on reading: it is how they know for how long the store has answered, which they vouch for.

--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -1,6 +1,7 @@
 """Leader election by a lease object in the platform's store."""
 
 import asyncio
+import math
 
 from logbook import Logger
 
@@ -17,6 +18,9 @@
 RENEW_INTERVAL_S = 0.8
 CANDIDATE_POLL_INTERVAL_S = 0.6
 STANDBY_POLL_INTERVAL_S = 4.0
+# The leader is not taken to be silent any sooner: a renewal and its way here take this
+# long.
+MIN_SILENCE_S = 1.6
 # The holder stops acting on the lease this long before another daemon may
 # acquire it.
 EXPIRY_MARGIN_S = 0.6
@@ -86,6 +90,7 @@
         "_held_until",
         "_competing",
         "_highest_term",
+        "_heard_at",
         "term",
         "is_first",
     )
@@ -104,6 +109,7 @@
         self._held_until = 0.0
         self._competing = None
         self._highest_term = 0
+        self._heard_at = -math.inf
         self.term = 0
         self.is_first = False
 
@@ -148,6 +154,31 @@
         """Return the address where the leader accepts calls, or "" if none is known."""
         return self._seen.address if self._seen is not None else ""
 
+    def tell(self):
+        """Return the lease as this daemon knows it, for `hear`; ``None`` if unknown."""
+        seen = self._seen
+        if seen is None:
+            return None
+        return [seen.holder, seen.term, seen.address, seen.version]
+
+    def hear(self, told):
+        """Note the lease that another daemon has told, if it is newer than known.
+
+        It was in the store before it was told, so it expires here no earlier than if
+        this daemon had read it.
+        """
+        try:
+            holder, term, address, version = told
+            version = Revision(read_count(version))
+        except (TypeError, ValueError) as error:
+            log.warning("told lease not readable", error=repr(error))
+            return
+        if self._seen is None or version <= self._seen.version:
+            return
+        value = {"holder": holder, "term": term, "address": address}
+        self._record_seen(SeenLease(value, version, self._kernel.clock.time()))
+        self._heard_at = self._kernel.clock.time()
+
     async def _compete(self):
         clock = self._kernel.clock
         while True:
@@ -158,18 +189,38 @@
                     await self._acquire_if_free()
             except StoreError as error:
                 log.warning("lease not reachable", error=str(error))
+            await self._pause(clock)
+
+    def doubt(self):
+        """Read the lease soon, since its holder can't be reached."""
+        self._heard_at = -math.inf
+
+    async def _pause(self, clock):
+        """Wait until the lease is to be renewed or read again."""
+        began_at = clock.time()
+        while True:
             held = self.is_held()
-            interval_s = RENEW_INTERVAL_S if held else self._poll_interval_s()
+            interval_s = RENEW_INTERVAL_S if held else CANDIDATE_POLL_INTERVAL_S
             await clock.sleep(interval_s * self._kernel.random.uniform(0.85, 1.15))
+            if held or self._must_read(clock.time(), began_at):
+                return
+
+    def _must_read(self, now, read_at):
+        """Return whether this daemon is to read a lease that another one holds.
 
-    def _poll_interval_s(self):
-        """Return the time between two reads of a lease that another daemon holds.
+        Relays read it often, by which they know how long the store has answered, and
+        vouch for that to others. Other daemons, to spare the store, read it only while
+        nobody tells them of renewals, and rarely unless they are candidates.
 
-        Only a few candidates poll often; the other daemons poll rarely, to spare
-        the store.
+        :param read_at: the time of the last read.
         """
-        is_candidate = self._kernel.get("daemons").is_candidate()
-        return CANDIDATE_POLL_INTERVAL_S if is_candidate else STANDBY_POLL_INTERVAL_S
+        daemons = self._kernel.get("daemons")
+        if daemons.is_relay():
+            return True
+        silence_s = now - self._heard_at
+        if daemons.is_candidate():
+            return silence_s >= MIN_SILENCE_S
+        return min(silence_s, now - read_at) >= STANDBY_POLL_INTERVAL_S
 
     async def _acquire_if_free(self):
         seen = await self._read()
--- a/pimentogap/relay/_answering.py
+++ b/pimentogap/relay/_answering.py
@@ -12,6 +12,8 @@
 # Marks how recent the answerer's copy was. Who has asked it before returns the mark,
 # and is answered as soon as the copy is known to be more recent.
 MARK_FIELD = "mark"
+# The leader's lease as the answerer knows it.
+LEASE_FIELD = "lease"
 # Daemons that ask within this time for the changes since the same revision get the
 # same answer, so that it is encoded once.
 SHARED_ANSWER_S = 0.3
@@ -25,17 +27,22 @@
         "_daemons",
         "_subscriptions_by_collection",
         "_max_wait_s",
+        "_tell_lease",
     )
 
-    def __init__(self, clock, daemons, subscriptions_by_collection, *, max_wait_s):
+    def __init__(
+        self, clock, daemons, subscriptions_by_collection, *, max_wait_s, tell_lease
+    ):
         """Pass on the copies in ``subscriptions_by_collection``.
 
         :param max_wait_s: the longest wait for a change.
+        :param tell_lease: a function that returns the leader's lease as plain data.
         """
         self._clock = clock
         self._daemons = daemons
         self._subscriptions_by_collection = subscriptions_by_collection
         self._max_wait_s = max_wait_s
+        self._tell_lease = tell_lease
 
     async def answer(self, body):
         """Return the changes since a revision, for another daemon.
@@ -61,6 +68,7 @@
             {
                 KNOWN_FIELD: subscription.known.since_question_s(question_at),
                 MARK_FIELD: subscription.known.at,
+                LEASE_FIELD: self._tell_lease(),
             },
         )
 
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -14,7 +14,12 @@
     WatchCompacted,
 )
 from pimentogap.kernel import RestartOnError
-from pimentogap.relay._answering import KNOWN_FIELD, MARK_FIELD, ChangesAnswerer
+from pimentogap.relay._answering import (
+    KNOWN_FIELD,
+    LEASE_FIELD,
+    MARK_FIELD,
+    ChangesAnswerer,
+)
 from pimentogap.relay._changes import CollectionUpdate, load
 from pimentogap.relay._contact import REREGISTRATION_S
 from pimentogap.relay._freshness import ANSWER_SLACK_S, FRESHNESS_SLACK_S, KnownAt
@@ -123,6 +128,7 @@
             self._daemons,
             self._subscriptions_by_collection,
             max_wait_s=MAX_RELAY_WAIT_S,
+            tell_lease=self._tell_lease,
         )
         self._calls.register(CHANGES_CALL, answerer.answer)
         self._started_at = kernel.clock.time()
@@ -309,6 +315,9 @@
             cooldown_s = STALE_RELAY_COOLDOWN_S
         cooldown_until = self._kernel.clock.time() + cooldown_s
         subscription.cooldown_until_by_relay[address] = cooldown_until
+        lease = self._kernel.find("lease")
+        if lease is not None and lease.leader_address == address:
+            lease.doubt()
         if isinstance(error, PeerUnreachable):
             # So it is for the other collections, which then need not read the store.
             self._unreachable_until_by_address[address] = cooldown_until
@@ -373,6 +382,7 @@
         if not answer:
             raise CopyNotFresh(f"{address} has nothing fresh to relay")
         subscription.source_mark = (address, answer.get(MARK_FIELD))
+        self._hear_lease(answer.get(LEASE_FIELD))
         update = self._load_answer(address, subscription, answer, asked_at)
         if revision is None:
             return update
@@ -387,6 +397,15 @@
             )
         return update
 
+    def _tell_lease(self):
+        lease = self._kernel.find("lease")
+        return lease.tell() if lease is not None else None
+
+    def _hear_lease(self, told):
+        lease = self._kernel.find("lease")
+        if lease is not None and told is not None:
+            lease.hear(told)
+
     def _load_answer(self, address, subscription, answer, asked_at):
         """Return the `CollectionUpdate` in a daemon's answer.
 
