Compare the limits on headers with the memory, since daemons read what is configured

The check said that heads above 64 KiB are never read. That was true of a constant of the ingress; it now reads twice what the configuration allows, so the rule compares both limits with the memory of a daemon.

--- a/features/platform/checks.feature
+++ b/features/platform/checks.feature
@@ -22,7 +22,7 @@
       | shares above one                | contradiction | services[0]  | 1    |
       | a cold rate without a time      | contradiction | services[0]  | 1    |
       | bodies beyond the memory        | contradiction | limits       | 1    |
-      | headers that no daemon reads    | contradiction | limits       | 1    |
+      | headers beyond the memory       | contradiction | limits       | 1    |
       | ranks that workspaces replace   | contradiction | routes[1]    | 1    |
 
   Scenario: All errors are reported at once
--- a/features/steps/check_steps.py
+++ b/features/steps/check_steps.py
@@ -83,7 +83,7 @@
     "shares above one": _set("services", 0, "engine", "models", 0, "share", value=0.9),
     "a cold rate without a time": _set("services", 0, "coldPerS", value=5),
     "bodies beyond the memory": _set("limits", "maxBodyBytes", value=10**9),
-    "headers that no daemon reads": _set("limits", "maxHeaderBytes", value=10**6),
+    "headers beyond the memory": _set("limits", "maxHeaderBytes", value=10**9),
     "ranks that workspaces replace": _set("routes", 1, "priority", value=3),
 }
 
--- a/pimentogap/programs/_check.py
+++ b/pimentogap/programs/_check.py
@@ -20,8 +20,6 @@
 EXIT_WARNINGS = 1
 EXIT_FAULTS = 2
 DEFAULT_MEMORY_MB = 300.0
-# What a daemon reads of a request's head, whatever the configuration allows.
-HEADER_BYTES = 65536
 
 EPILOG = """\
 The file holds the configuration as it would be written to the platform's store.
@@ -71,9 +69,7 @@
         return faults
     findings = [
         *find_unmatched(configuration),
-        *find_contradictions(
-            configuration, memory_mb=options.memory_mb, header_bytes=HEADER_BYTES
-        ),
+        *find_contradictions(configuration, memory_mb=options.memory_mb),
     ]
     if in_force is not None:
         findings += find_changes(in_force, configuration)
