Admit by cost only where callers compete for room

Admission by cost, the exchange of load and the pace were switched on by the contract of shared pools, which most deployments have.

--- a/features/platform/shared_load.feature
+++ b/features/platform/shared_load.feature
@@ -56,7 +56,7 @@
       | 10     | 4          | 10       |
       | 10     | 1000000000 | 22       |
 
-  Scenario: Daemons that share pools serve streams and know of each other
+  Scenario: Daemons for whose callers room is scarce serve streams and know of each other
     Given a platform of shared pools with 1 fabric domains of 8 replicas and 3 daemons
     And its groups are open
     And a first request has been answered
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -32,7 +32,7 @@
 )
 def given_shared_pools(context, domains, size, daemons):
     async def start():
-        fleet = EmulatedFleet(contracts=("pool",))
+        fleet = EmulatedFleet(contracts=("pressure",))
         await fleet.start(daemons=daemons, domains=domains, domain_size=size)
         return fleet
 
--- a/pimentogap/admission/_service.py
+++ b/pimentogap/admission/_service.py
@@ -81,7 +81,7 @@
         "metrics",
     )
     __slots__ = (
-        "_shares_pools",
+        "_scarce_room",
         "_kernel",
         "_placement",
         "_directory",
@@ -93,8 +93,8 @@
     )
 
     def __init__(self, settings):
-        """Govern model services if ``settings`` say that daemons share pools."""
-        self._shares_pools = settings.shares_pools
+        """Govern model services if ``settings`` say that room is scarce."""
+        self._scarce_room = settings.scarce_room
         self._kernel = None
         self._placement = None
         self._directory = None
@@ -253,7 +253,7 @@
     def _cost(self, service, model):
         """Return the `GroupCost` of a model, ``None`` if it is not governed."""
         configuration = self._configuration.current
-        if not self._shares_pools or configuration is None or not model:
+        if not self._scarce_room or configuration is None or not model:
             return None
         spec = configuration.services_by_name.get(service)
         if spec is None or spec.engine is None or spec.engine.timings is None:
--- a/pimentogap/placement/_service.py
+++ b/pimentogap/placement/_service.py
@@ -79,20 +79,20 @@
         "_configuration",
         "loads_by_key",
         "_latencies_by_model",
-        "_shares_pools",
+        "_scarce_room",
         "_flows_by_model",
         "_paces",
         "_others",
         "_others_known_at",
     )
 
-    def __init__(self, *, shares_pools=False):
+    def __init__(self, *, scarce_room=False):
         """Create the service.
 
-        :param shares_pools: whether many daemons share pools of backend servers, so
-            that each goes by what all others state of their requests.
+        :param scarce_room: whether callers compete for room, so that each daemon goes
+            by what all others state of their requests.
         """
-        self._shares_pools = shares_pools
+        self._scarce_room = scarce_room
         self._flows_by_model = {}
         self._paces = PaceBook()
         self._others = Others(Counts(), 0.0)
@@ -110,7 +110,7 @@
         self._directory = kernel.get("directory")
         self._permits = kernel.get("permits")
         self._configuration = kernel.get("serving_configuration")
-        if self._shares_pools:
+        if self._scarce_room:
             kernel.get("occupancy").attach(
                 self._tell, self._hear, self._paces.limits_by_key
             )
@@ -128,7 +128,7 @@
         return load
 
     def _new_load(self, key, backend):
-        if not self._shares_pools:
+        if not self._scarce_room:
             return BackendLoad(backend.id, backend.slots)
         text = _key_text(key)
         limit = self._paces.limit(text, _room(backend))
@@ -294,7 +294,7 @@
             item for item in candidates if not self.load(item).is_suspect(now)
         ]
         candidates = unsuspected or candidates
-        if not self._shares_pools:
+        if not self._scarce_room:
             return self._choose_least_loaded(candidates, now)
         if not allow_limited:
             return self._choose_by_room(candidates, self._flow(service, model), now)
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -62,5 +62,5 @@
         cold_overrun=float(bounds.get("coldOverrun") or 1.0),
         cold_slack=float(bounds.get("coldSlack") or 0.0),
         evacuation_s=float(bounds.get("evacuateMs") or 0) / 1000,
-        shares_pools="pool" in (data.get("contracts") or ()),
+        scarce_room="pressure" in (data.get("contracts") or ()),
     )
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -145,8 +145,8 @@
         PermitService(
             cold_overrun=settings.cold_overrun, cold_slack=settings.cold_slack
         ),
-        OccupancyService(settings.id, enabled=settings.shares_pools),
-        PlacementService(shares_pools=settings.shares_pools),
+        OccupancyService(settings.id, enabled=settings.scarce_room),
+        PlacementService(scarce_room=settings.scarce_room),
         AdmissionService(settings),
         QuarantineService(settings.id, settings.react_s),
         ForwardingService(settings, pool, codec),
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -19,8 +19,8 @@
     refuses it sockets. A backend server that is cold gets at most ``cold_overrun``
     times its rate and ``cold_slack`` requests in a second from all daemons.
     ``evacuation_s`` is the time in which a zone's evacuation takes effect, 0 if zones
-    are not evacuated. ``shares_pools`` says that many daemons share pools of backend
-    servers, of which each sees a small part of the traffic.
+    are not evacuated. ``scarce_room`` says that callers may compete for too
+    little room at the backend servers, so that daemons share what they know of it.
     """
 
     id: str
@@ -46,7 +46,7 @@
     cold_overrun: float = 1.0
     cold_slack: float = 0.0
     evacuation_s: float = 0.0
-    shares_pools: bool = False
+    scarce_room: bool = False
 
     @property
     def metrics_address(self):
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -252,8 +252,8 @@
                 _Stub("daemons", count=self._daemon_count, is_relay=lambda: False),
                 _Stub("permits", next_in_s=lambda _: 0.0, is_limited=lambda _: False),
                 _Stub("serving_configuration", current=configuration),
-                PlacementService(shares_pools=self.governed),
-                AdmissionService(SimpleNamespace(shares_pools=True)),
+                PlacementService(scarce_room=self.governed),
+                AdmissionService(SimpleNamespace(scarce_room=True)),
             ):
                 kernel.register(service)
             await kernel.start()
