--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -21,6 +21,8 @@
 STORE_DELAY_S = 0.004
 PAGE_ITEMS = 500
 MAX_LINE = 2**22
+# Each script has daemons at addresses of its own, so that several can run at once.
+LOOPBACK_NET = f"127.{10 + os.getpid() // 250 % 200}.{1 + os.getpid() % 250}"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 SETTINGS = """\
@@ -37,15 +39,31 @@
 seedNodes: []
 bootstrap: {first_start}
 lossCounted: false
-limits: {{cpuShare: 0.537, cpuCores: 2, memoryMb: 300, maxFds: 4200, linkMbps: 1000.0, diskMb: 0}}
+limits:
+  cpuShare: 0.537
+  cpuCores: 2
+  memoryMb: 300
+  maxFds: 4200
+  linkMbps: 1000.0
+  diskMb: 0
 dataDir: null
 discovery: "platform"
 entry: "vip"
 beatIntervalMs: 1200
-contracts: ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "gangs"]
+contracts:
+  ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream",
+   "tenants", "platform", "gangs"]
 faultTolerance: {{machines: 1, zones: 0, regions: 0}}
-bounds: {{seedLagS: 3, addrReuseS: 2, stableWindowMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000, rollbackSlackMs: 250, outerBoundMs: 5000, strictRevoke: false, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 130, recoveryS: 12, passMs: 120, retryAfterS: 0, stallMs: 4000, fencingEnforced: true, ceilingWindowS: 5, ceilingOverrun: 1.1}}
-platformInfo: {{addr: "{store}", form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}}
+bounds:
+  {{seedLagS: 3, addrReuseS: 2, stableWindowMs: 3000, ackMs: 4000, catchUpS: 4,
+   drainMs: 2000, graceS: 8, lossSlackMs: 200, configApplyMs: 2000,
+   rollbackSlackMs: 250, outerBoundMs: 5000, strictRevoke: false, revokeMs: 5000,
+   retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 130, recoveryS: 12,
+   passMs: 120, retryAfterS: 0, stallMs: 4000, fencingEnforced: true,
+   ceilingWindowS: 5, ceilingOverrun: 1.1}}
+platformInfo:
+  {{addr: "{store}", form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20,
+   valueBytes: 1048576, ttlMinMs: 1000}}
 """
 
 
@@ -309,22 +327,20 @@
 
     def __init__(self, index, zone, store_address, folder):
         self.name = f"front-{zone}-{index}"
-        self.ip = f"127.0.0.{10 + index}"
-        self.front, self.ready, control, inner = (
-            free_port(self.ip) for _ in range(4)
-        )
+        self.ip = f"{LOOPBACK_NET}.{10 + index}"
+        self.front, self.ready, control, inner = (free_port(self.ip) for _ in range(4))
         self._folder = folder
-        self._settings = dict(
-            name=self.name,
-            ip=self.ip,
-            zone=zone,
-            front=self.front,
-            ready=self.ready,
-            control=control,
-            inner=inner,
-            inner_last=inner + 15,
-            store=store_address,
-        )
+        self._settings = {
+            "name": self.name,
+            "ip": self.ip,
+            "zone": zone,
+            "front": self.front,
+            "ready": self.ready,
+            "control": control,
+            "inner": inner,
+            "inner_last": inner + 15,
+            "store": store_address,
+        }
         self.process = None
 
     def start(self, *, first_start=True):
