--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -57,6 +57,7 @@
         "requests",
         "may_answer",
         "ended",
+        "error",
     )
     requires = ()
 
@@ -73,6 +74,7 @@
         self.requests = []
         self.may_answer = asyncio.Event()
         self.ended = []
+        self.error = None
 
     async def start(self, kernel):
         self.may_answer.set()
@@ -85,6 +87,8 @@
 
     async def serve(self, request):
         """Answer once ``may_answer`` is set, and record if the request is cancelled."""
+        if self.error is not None:
+            raise self.error
         self.requests.append(request)
         try:
             await self.may_answer.wait()
@@ -191,6 +195,49 @@
     asyncio.run(exchange())
 
 
+@when("a request comes in while forwarding raises an error")
+def when_forwarding_fails(context):
+    async def exchange():
+        front_end = context.front_end
+        await front_end.start()
+        front_end.forwarding.error = RuntimeError("unforeseen")
+        reader, writer = await front_end.connect()
+        writer.write(HEAD.encode() + b"Content-Length: 0\r\n\r\n")
+        async with asyncio.timeout(5):
+            context.answer = await reader.read()
+        writer.close()
+
+    asyncio.run(exchange())
+
+
+@when('"{text}" comes in as the {field} of a request')
+def when_text_sent(context, text, field):
+    fields = {"host": "x", "key": "k", "model": "m", field: text}
+    lines = [
+        "GET /x HTTP/1.1",
+        f"Host: {fields['host']}",
+        f"Authorization: Bearer {fields['key']}",
+        f"X-Pimentogap-Model: {fields['model']}",
+    ]
+
+    async def exchange():
+        await context.front_end.start()
+        reader, writer = await context.front_end.connect()
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        async with asyncio.timeout(5):
+            context.answer = await reader.readuntil(b"ok")
+        writer.close()
+
+    asyncio.run(exchange())
+
+
+@then('the request is passed on with "{text}" as its {field}')
+def then_text_read(context, text, field):
+    (request,) = context.front_end.forwarding.requests
+    holder = request if field == "host" else request.needs
+    assert getattr(holder, field) == text, getattr(holder, field)
+
+
 @when("a caller disconnects before it gets an answer")
 def when_caller_disconnects(context):
     async def exchange():
--- a/pimentogap/errors.py
+++ b/pimentogap/errors.py
@@ -52,6 +52,14 @@
     """No connection was made, so no part of the request was sent."""
 
 
+class RequestNotSendable(PimentogapError):
+    """The request cannot be written as an HTTP message, so nothing was sent."""
+
+
+class CallerLeft(PimentogapError):
+    """The caller closed its connection before its answer was complete."""
+
+
 class SendWithheld(PimentogapError):
     """Nothing was sent, since the server no longer takes requests."""
 
--- a/pimentogap/forwarding/_attempts.py
+++ b/pimentogap/forwarding/_attempts.py
@@ -7,6 +7,8 @@
     NotRun,
     NotSent,
     Stalled,
+    Unexpected,
+    Unsendable,
     Withdrawn,
 )
 
@@ -50,7 +52,7 @@
 def outcome_name(outcome):
     """Return the text that log lines and metrics have for ``outcome``."""
     match outcome:
-        case Lost(detail) | NotSent(detail):
+        case Lost(detail) | NotSent(detail) | Unexpected(detail) | Unsendable(detail):
             return f"{type(outcome).__name__.lower()}: {detail}"
         case NotRun(status):
             return f"notrun {status}"
--- a/pimentogap/forwarding/_outcomes.py
+++ b/pimentogap/forwarding/_outcomes.py
@@ -17,6 +17,20 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Unsendable:
+    """HTTP has no form of the request, so no backend server can get it."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unexpected:
+    """An error that nothing foresees ended the attempt; the request may have run."""
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Withheld:
     """Nothing was sent, since the backend server no longer takes requests."""
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -18,6 +18,8 @@
     Paused,
     Stalled,
     TimedOut,
+    Unexpected,
+    Unsendable,
     Withdrawn,
 )
 from pimentogap.forwarding._returns import return_delay_s
@@ -128,6 +130,10 @@
                 self.refuse(
                     request, admitted, 502, outcome_name(outcome), attempts=attempts
                 )
+            case Unsendable() | Unexpected():
+                status = 502 if attempts.possible_runs else 503
+                reason = type(outcome).__name__.lower()
+                self.refuse(request, admitted, status, reason, attempts=attempts)
 
     def _refuse_unserved(
         self, request, admitted, attempts, reason, remaining_s, after_s=None
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -7,7 +7,13 @@
 from logbook import Logger
 
 from pimentogap.admission import Refused
-from pimentogap.errors import ConnectionFailed, ResponseLost, SendWithheld
+from pimentogap.errors import (
+    CallerLeft,
+    ConnectionFailed,
+    RequestNotSendable,
+    ResponseLost,
+    SendWithheld,
+)
 from pimentogap.forwarding._attempts import Attempts
 from pimentogap.forwarding._events import EventFilter
 from pimentogap.forwarding._evidence import AttemptEvidence
@@ -22,6 +28,8 @@
     Paused,
     Stalled,
     TimedOut,
+    Unexpected,
+    Unsendable,
     Withdrawn,
     Withheld,
 )
@@ -217,6 +225,11 @@
         except asyncio.CancelledError:
             self._responder.log_end(request, admitted, attempts, "caller_left", 0)
             raise
+        except CallerLeft:
+            raise
+        except Exception as error:
+            log.exception("request failed", id=request.needs.attempt_id)
+            outcome = Unexpected(repr(error))
         remaining_s = deadline - self._kernel.clock.time()
         self._responder.respond(request, admitted, attempts, outcome, remaining_s)
 
@@ -305,6 +318,9 @@
         match outcome:
             case Delivered() | Interrupted() | TimedOut() | Withdrawn():
                 return False
+            case Unsendable() | Unexpected():
+                # It would end in the same way at any other server.
+                return False
             case NotSent() | NotRun():
                 return (
                     attempts.possible_runs < route.max_attempts
@@ -362,7 +378,7 @@
                 # Retrieved here, since nothing else does after the caller has
                 # disconnected, and asyncio would report it as never retrieved.
                 exchange.exception()
-        if isinstance(outcome, NotSent | NotRun | Withheld):
+        if isinstance(outcome, NotSent | NotRun | Unsendable | Withheld):
             attempts.possible_runs -= 1
         self._admission.record_end(attempts.claim)
         if receiver.first_event_at is not None:
@@ -379,14 +395,14 @@
         route = admitted.route
         resume_after = attempts.event_filter.last_id if attempts.event_filter else None
         remaining_s = deadline - self._kernel.clock.time()
-        headers = request.headers + self._codec.attempt_headers(
-            backend=backend,
-            remaining_s=remaining_s,
-            workspace=admitted.workspace,
-            last_event_id=resume_after,
-            urgency=attempts.urgency,
-        )
         try:
+            headers = request.headers + self._codec.attempt_headers(
+                backend=backend,
+                remaining_s=remaining_s,
+                workspace=admitted.workspace,
+                last_event_id=resume_after,
+                urgency=attempts.urgency,
+            )
             await self._pool.exchange(
                 backend.address,
                 request.method,
@@ -404,8 +420,17 @@
         except SendWithheld as error:
             log.info("send withheld", id=request.needs.attempt_id, reason=str(error))
             return Withheld()
+        except RequestNotSendable as error:
+            return Unsendable(str(error))
         except ResponseLost as error:
             return Lost(str(error))
+        except CallerLeft:
+            raise
+        except Exception as error:
+            log.exception(
+                "attempt failed", id=request.needs.attempt_id, backend=backend.id
+            )
+            return Unexpected(repr(error))
 
     async def _await_outcome(
         self, request, admitted, attempts, load, latency, receiver, exchange, deadline
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -11,6 +11,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from pimentogap.errors import CallerLeft
 from pimentogap.forwarding import CallerRequest
 from pimentogap.ingress._refusals import LINGER_BYTES, send_refusal
 from pimentogap.ingress._stream import (
@@ -31,6 +32,8 @@
 # From this size on, a chunked body gets a larger receive buffer.
 LARGE_CHUNKED_BYTES = 256 * 1024
 UNAVAILABLE_STATUS = 503
+# Unlike 503, it does not say that the request has not run.
+FAILED_STATUS = 502
 TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
 HEADERS_TOO_LARGE_STATUS = 431
@@ -66,7 +69,6 @@
 
         :param headers: pairs of name and value.
         """
-        self.begun = True
         # tornado turns TCP_NODELAY off after each answer, which would delay events.
         self.stream.set_nodelay(True)
         fields = HTTPHeaders()
@@ -76,6 +78,7 @@
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
         _ignore_error(self._connection.write_headers(line, fields))
+        self.begun = True
 
     def send(self, chunk):
         """Write ``chunk`` without waiting until it is written to the socket."""
@@ -85,9 +88,12 @@
     async def write(self, chunk):
         """Write ``chunk`` and wait until it is written to the socket.
 
-        :raises StreamClosedError: if the caller has closed the connection.
+        :raises CallerLeft: if the caller has closed the connection.
         """
-        await self._connection.write(chunk)
+        try:
+            await self._connection.write(chunk)
+        except StreamClosedError:
+            raise CallerLeft("the connection of the caller is closed")
 
     def finish(self):
         """End a complete answer."""
@@ -96,7 +102,8 @@
 
     def abort(self):
         """Close the connection, so that the caller sees an incomplete answer."""
-        self.stream.close()
+        if not self.ended:
+            self.stream.close()
 
 
 class Exchange(HTTPMessageDelegate):
@@ -259,23 +266,33 @@
         attempt_id = self._service.codec.decode_attempt_id(self._headers)
         try:
             await self._service.forwarding.serve(self._request())
-        except StreamClosedError:
+        except (CallerLeft, StreamClosedError):
             log.info("caller left", id=attempt_id)
         except asyncio.CancelledError:
             raise
         except Exception:
             log.exception("request failed", id=attempt_id)
-            self._response.abort()
+            self._answer_failure(attempt_id)
         finally:
             self._body = None
             self._service.intake.release(self.stream.caller)
 
+    def _answer_failure(self, attempt_id):
+        """End a request that an unexpected error has ended; it may have run."""
+        if self._response.begun:
+            self._response.abort()
+            return
+        self.close_after = True
+        headers = self._service.codec.refusal_headers(attempt_id, retry_after_s=0.0)
+        self._response.begin(FAILED_STATUS, [*headers, ("Content-Length", "0")])
+        self._response.finish()
+
     def _request(self):
         headers = self._headers
         request = CallerRequest(
             method=self._start_line.method,
             path=self._path,
-            host=headers["Host"],
+            host=self._service.codec.decode_host(headers),
             headers=self._service.codec.forwarded_headers(headers),
             body=self._body,
             needs=self._service.codec.needs(headers),
--- a/pimentogap/metrics/_service.py
+++ b/pimentogap/metrics/_service.py
@@ -112,4 +112,11 @@
         labels["model"] = series.model
     if series.backend:
         labels["backend"] = series.backend
-    return "{" + ",".join(f'{key}="{value}"' for key, value in labels.items()) + "}"
+    pairs = (f'{key}="{_escape(value)}"' for key, value in labels.items())
+    return "{" + ",".join(pairs) + "}"
+
+
+def _escape(value):
+    """Return ``value`` as the Prometheus text format writes it between quotes."""
+    text = str(value).encode("utf-8", "backslashreplace").decode()
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/pimentogap/platform/_backends.py
+++ b/pimentogap/platform/_backends.py
@@ -1,5 +1,6 @@
 """Decodes entries of the platform's list of backend servers."""
 
+from pimentogap.platform._text import is_sendable
 from pimentogap.types import Backend, BackendState, Membership, MemberState
 
 BACKEND_STATES_BY_NAME = {
@@ -12,7 +13,8 @@
 MS_PER_S = 1000
 MAX_PORT = 65535
 MAX_SLOTS = 100_000
-MAX_NAME_CHARS = 1000
+# Requests name the id of their server in a header, of which servers bound the size.
+MAX_NAME_CHARS = 16_384
 # Epochs and starts are counted in 63 bits by the platform.
 MAX_INT = 2**63 - 1
 
@@ -27,6 +29,8 @@
     """
     if not isinstance(data, dict) or len(name) > MAX_NAME_CHARS:
         return None
+    if not is_sendable(name):
+        return None
     address, service = data.get("addr"), data.get("service")
     state = BACKEND_STATES_BY_NAME.get(_str_or_none(data.get("state")))
     if not _is_address(address) or not isinstance(service, str) or state is None:
--- a/pimentogap/platform/_engines.py
+++ b/pimentogap/platform/_engines.py
@@ -1,9 +1,12 @@
 """Sends orders to model engines and fetches their reports, over HTTP."""
 
 import json
+from urllib.parse import quote
 
 from pimentogap.errors import ConnectionFailed, OrderRefused, ResponseLost
 from pimentogap.platform._backends import decode_backend
+from pimentogap.platform._headers import EXPECTED_BACKEND
+from pimentogap.platform._text import encode_field
 from pimentogap.types import (
     CloseGroup,
     HttpRequest,
@@ -21,6 +24,8 @@
 REPORT_TIMEOUT_S = 0.25
 OK_STATUS = 200
 UNHEALTHY_STATUS = 503
+# What a path holds as it is; blanks, line ends and other scripts are escaped.
+PATH_CHARACTERS = "/%?&=:;,+@!$'()*~#[]"
 
 
 class HttpEngines:
@@ -47,7 +52,7 @@
         body["fenceToken"] = fence
         headers = {
             "Content-Type": "application/json",
-            "X-Pimentogap-Expect-Replica": backend.id,
+            **_expecting(backend),
         }
         request = HttpRequest("POST", "/api/order", headers, json.dumps(body).encode())
         try:
@@ -73,9 +78,7 @@
         :raises ConnectionFailed: if the backend server cannot be reached.
         :raises ResponseLost: if it did not answer with status 200 and JSON.
         """
-        request = HttpRequest(
-            "GET", "/api/report", {"X-Pimentogap-Expect-Replica": backend.id}
-        )
+        request = HttpRequest("GET", "/api/report", _expecting(backend))
         response = await self._client.fetch(
             backend.address, request, timeout_s=REPORT_TIMEOUT_S, fresh=True
         )
@@ -96,9 +99,8 @@
         No answer, or one that the check was not run, says nothing, since a check
         waits for a slot.
         """
-        request = HttpRequest(
-            "GET", health_path, {"X-Pimentogap-Expect-Replica": backend.id}
-        )
+        path = quote(health_path, safe=PATH_CHARACTERS, errors="replace")
+        request = HttpRequest("GET", path, _expecting(backend))
         try:
             response = await self._client.fetch(
                 backend.address, request, timeout_s=REPORT_TIMEOUT_S, fresh=True
@@ -111,6 +113,11 @@
         )
 
 
+def _expecting(backend):
+    """Return the header by which any other server refuses the request."""
+    return {EXPECTED_BACKEND: encode_field(backend.id)}
+
+
 def _encode(order):
     match order:
         case JoinGroup(group, epoch, model, members):
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 
+from pimentogap.platform._text import decode_field, encode_field
 from pimentogap.types import (
     BackendAnswer,
     EngineLoad,
@@ -76,14 +77,18 @@
         return RequestNeeds(
             attempt_id=self.decode_attempt_id(headers),
             deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
-            key=_bearer_token(headers.get(AUTHORIZATION, "")),
-            model=headers.get(MODEL, ""),
+            key=_bearer_token(decode_field(headers.get(AUTHORIZATION, ""))),
+            model=decode_field(headers.get(MODEL, "")),
             last_event_id=decimal_or_none(headers.get(LAST_EVENT, "").strip()),
             shared_parts=_shared_parts(headers.get(PROMPT_PARTS)),
             prompt_tokens=prompt_tokens,
             max_answer_tokens=max_answer_tokens,
         )
 
+    def decode_host(self, headers):
+        """Return the host that a request is for, with its port if it names one."""
+        return decode_field(headers["Host"])
+
     def decode_attempt_id(self, headers):
         """Return the attempt id in ``headers``, empty if there is none."""
         return headers.get(ATTEMPT_ID, "")
@@ -119,13 +124,14 @@
         :param urgency: the rank, 0 the first, in which the backend server admits
             requests; ``None`` for its default.
         :return: pairs of name and value.
+        :raises RequestNotSendable: if a name cannot be sent.
         """
         pairs = [
-            (EXPECTED_BACKEND, backend.id),
+            (EXPECTED_BACKEND, encode_field(backend.id)),
             (DEADLINE, str(max(1, int(remaining_s * MS_PER_S)))),
         ]
         if workspace is not None:
-            pairs.append((WORKSPACE, workspace))
+            pairs.append((WORKSPACE, encode_field(workspace)))
         if last_event_id is not None:
             pairs.append((LAST_EVENT, str(last_event_id)))
         if urgency is not None:
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -5,11 +5,18 @@
 
 from logbook import Logger
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+)
 from tornado.iostream import StreamClosedError
 
 from pimentogap.errors import (
     ConnectionFailed,
+    PimentogapError,
+    RequestNotSendable,
     ResponseLost,
     ReusedConnectionClosed,
     SendWithheld,
@@ -99,6 +106,9 @@
         self.finished = False
 
     def _fail(self, error):
+        if not isinstance(error, PimentogapError | asyncio.CancelledError):
+            log.error("answer not usable", exc_info=error)
+            error = ResponseLost(f"the answer is not usable: {error!r}")
         # The pool raises it once tornado has returned from `read_response`.
         self.error = error
         self.stream.close()
@@ -173,11 +183,14 @@
         :param connect_s: timeout for opening a connection, in seconds.
         :param may_send: a function that is called once a connection is open, and
             returns whether to send the request.
+        :raises RequestNotSendable: if HTTP has no form of the request; nothing was
+            sent.
         :raises ConnectionFailed: if nothing was sent.
         :raises SendWithheld: if ``may_send`` returned false; nothing was sent.
         :raises ReusedConnectionClosed: if a reused connection ended before any answer.
         :raises ResponseLost: if the answer did not arrive completely.
         """
+        fields = encode_fields(method, headers, body)
         attempt_id = receiver.attempt_id
         connection = None if fresh else self._pop_idle(address, attempt_id)
         reused = connection is not None
@@ -192,7 +205,7 @@
         try:
             line = RequestStartLine(method, path, "HTTP/1.1")
             idle_limit_s = await self._transfer(
-                stream, line, _fields(method, headers, body), body, receiver, reused
+                stream, line, fields, body, receiver, reused
             )
         finally:
             if idle_limit_s > 0 and attempt_id and _is_reusable(stream, address):
@@ -307,10 +320,19 @@
     connection.finish()
 
 
-def _fields(method, headers, body):
+def encode_fields(method, headers, body):
+    """Return the `HTTPHeaders` of a request.
+
+    :param headers: pairs of name and value.
+    :raises RequestNotSendable: if one of them is no header field.
+    """
     fields = HTTPHeaders()
-    for name, value in headers:
-        fields.add(name, value)
+    try:
+        for name, value in headers:
+            fields.add(name, value)
+            value.encode("latin-1")
+    except (HTTPInputError, UnicodeEncodeError) as error:
+        raise RequestNotSendable(f"{name} has no form in HTTP: {error}")
     if body or method in BODY_METHODS:
         fields["Content-Length"] = str(len(body))
     return fields
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -15,6 +15,7 @@
 from pimentogap.types import HttpRequest
 from pimentogap.web import BodyBuffer
 from standins._network import AbandonConnection
+from standins._wire import read_fields
 
 CONNECT_DELAY_S = 0.002
 
@@ -87,7 +88,7 @@
         :raises SendWithheld: if ``may_send()`` was false once the connection was open.
         :raises ResponseLost: if the connection was closed before the end.
         """
-        request = HttpRequest(method, path, dict(headers), body)
+        request = HttpRequest(method, path, read_fields(headers), body)
         if self._is_silent(address):
             await asyncio.sleep(connect_s)
             raise ConnectionFailed(f"no connection to {address}")
