--- a/pimentogap/formation/_lease.py
+++ b/pimentogap/formation/_lease.py
@@ -169,7 +169,7 @@
         """
         try:
             holder, term, address, version = told
-            version = Revision(read_count(version))
+            version = Revision.read(version)
         except (TypeError, ValueError) as error:
             log.warning("told lease not readable", error=repr(error))
             return
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -234,7 +234,9 @@
         self._responder.respond(request, admitted, attempts, outcome, remaining_s)
 
     def _deadline(self, request, admitted):
-        deadline_s = request.needs.deadline_s or DEFAULT_DEADLINE_S
+        deadline_s = request.needs.deadline_s
+        if deadline_s is None:
+            deadline_s = DEFAULT_DEADLINE_S
         return request.received_at + min(admitted.route.timeout_s, deadline_s)
 
     def _report_first_request(self):
--- a/pimentogap/platform/_backends.py
+++ b/pimentogap/platform/_backends.py
@@ -12,11 +12,12 @@
 
 MS_PER_S = 1000
 MAX_PORT = 65535
-MAX_SLOTS = 100_000
+MAX_SLOTS = 1_000_000
 # Requests name the id of their server in a header, of which servers bound the size.
 MAX_NAME_CHARS = 16_384
-# Epochs and starts are counted in 63 bits by the platform.
-MAX_INT = 2**63 - 1
+# Epochs are a multiple of the lease's terms.
+MAX_INT = 2**120
+MAX_COLD_MS = 2**40
 
 
 def decode_backend(name, data):
@@ -57,7 +58,7 @@
 def _cold_left_s(value):
     """Return the seconds of ``coldLeftMs``; 0 if it is missing or no number."""
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return value / MS_PER_S if is_number and 0 < value <= MAX_INT else 0.0
+    return min(value, MAX_COLD_MS) / MS_PER_S if is_number and value > 0 else 0.0
 
 
 def _membership(data):
@@ -96,12 +97,14 @@
 
 
 def _slots(value):
-    """Return a number of slots, 1 if ``value`` is none."""
-    slots = _int_or_default(value, 1)
-    return slots if 0 < slots <= MAX_SLOTS else 1
+    """Return a number of slots up to `MAX_SLOTS`, 1 if ``value`` is none."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return max(1, int(min(value, MAX_SLOTS))) if is_number and value > 0 else 1
 
 
 def _int_or_default(value, default):
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
     if isinstance(value, bool) or not isinstance(value, int) or abs(value) > MAX_INT:
         return default
     return value
--- a/pimentogap/platform/_configuration.py
+++ b/pimentogap/platform/_configuration.py
@@ -1,5 +1,8 @@
 """Decodes the operator's configuration document."""
 
+import math
+from fractions import Fraction
+
 from pimentogap.errors import InvalidDocument
 from pimentogap.platform._fields import Fields
 from pimentogap.schema import Problem
@@ -58,7 +61,7 @@
         host_routes.sort(key=lambda route: -len(route.path_prefix))
     workspaces = [_workspace(item) for item in document.children("tenants")]
     return ServingConfiguration(
-        version=int(document.number("version")),
+        version=document.exact_number("version"),
         routes=routes,
         services_by_name={service.name: service for service in services},
         limits=_limits(document.child("limits") or Fields("limits", {}, [])),
@@ -76,7 +79,7 @@
 
 
 def _route(item):
-    timeout_ms = item.number("timeoutMs", 0) or DEFAULT_TIMEOUT_MS
+    timeout_ms = item.number_above_0("timeoutMs", DEFAULT_TIMEOUT_MS)
     return Route(
         name=item.text("name"),
         host=item.text("host"),
@@ -84,9 +87,9 @@
         kind=item.one_of("routeKind", KINDS_BY_NAME, RouteKind.NON_IDEMPOTENT),
         splits=_splits(item),
         timeout_s=timeout_ms / MS_PER_S,
-        first_byte_s=(item.number("targetLatencyMs", 0) or timeout_ms) / MS_PER_S,
-        max_gap_s=item.number("targetGapMs", 0) / MS_PER_S,
-        max_attempts=int(item.number("maxAttempts", 0)) or 1,
+        first_byte_s=item.number_above_0("targetLatencyMs", timeout_ms) / MS_PER_S,
+        max_gap_s=item.number_above_0("targetGapMs", 0) / MS_PER_S,
+        max_attempts=max(1, int(item.number("maxAttempts", 1))),
         needs_key=not item.flag("authExempt"),
         # A sticky route in the platform's terms: its requests name a model.
         carries_model=item.flag("sticky"),
@@ -97,12 +100,14 @@
 
 def _splits(item):
     parts = item.children("trafficSplit")
-    if parts:
-        return tuple(
-            Split(part.text("service"), float(part.number("weight", 1)))
-            for part in parts
-        )
-    return (Split(item.text("service"), 1.0),)
+    if not parts:
+        return (Split(item.text("service"), 1.0),)
+    weights = [max(0, part.exact_number("weight", 1)) for part in parts]
+    largest = Fraction(max(weights)) or 1
+    return tuple(
+        Split(part.text("service"), float(Fraction(weight) / largest))
+        for part, weight in zip(parts, weights, strict=True)
+    )
 
 
 def _service(item):
@@ -120,17 +125,17 @@
     models = tuple(
         ModelSpec(
             name=model.text("name"),
-            size=int(model.number("size", 0)) or 1,
-            share=float(model.number("share", 0)),
-            pace=float(model.number("pace", 0)) or 1.0,
-            load_s=float(model.number("loadS", 0)) or 15.0,
+            size=max(1, int(model.number("size", 1))),
+            share=float(model.number_above_0("share", 0)),
+            pace=float(model.number_above_0("pace", 1)),
+            load_s=float(model.number_above_0("loadS", 15)),
         )
         for model in item.children("models")
     )
     return EngineSpec(
         models=models,
-        loads_per_s=float(item.number("loadsPerS", 0)) or 4.0,
-        loads_at_once=int(item.number("loads_at_once", 0)) or 6,
+        loads_per_s=float(item.number_above_0("loadsPerS", 4)),
+        loads_at_once=max(1, int(item.number_above_0("loads_at_once", 6))),
         slots=int(item.figure("slots")),
         memory_tokens=int(item.figure("kvCapacity")),
         timings=_timings(item),
@@ -157,11 +162,13 @@
 
 
 def _limits(item):
-    header_timeout_ms = item.number("headerTimeoutMs", 0) or DEFAULT_HEADER_TIMEOUT_MS
-    idle_timeout_ms = item.number("idleTimeoutMs", 0) or DEFAULT_IDLE_TIMEOUT_MS
+    header_timeout_ms = item.number_above_0(
+        "headerTimeoutMs", DEFAULT_HEADER_TIMEOUT_MS
+    )
+    idle_timeout_ms = item.number_above_0("idleTimeoutMs", DEFAULT_IDLE_TIMEOUT_MS)
     return CallerLimits(
-        max_header_bytes=int(item.number("maxHeaderBytes", 0)) or 16384,
-        max_body_bytes=int(item.number("maxBodyBytes", 0)) or 4 * 2**20,
+        max_header_bytes=math.ceil(item.number_above_0("maxHeaderBytes", 16384)),
+        max_body_bytes=math.ceil(item.number_above_0("maxBodyBytes", 4 * 2**20)),
         header_timeout_s=header_timeout_ms / MS_PER_S,
         idle_timeout_s=idle_timeout_ms / MS_PER_S,
     )
--- a/pimentogap/platform/_fields.py
+++ b/pimentogap/platform/_fields.py
@@ -9,7 +9,8 @@
 
 log = Logger("platform.fields")
 
-# No figure of an engine, rate or rank is larger than this.
+# Larger quantities are taken for this, so that sums and products stay finite. Numbers
+# that are compared with others, such as versions, are never changed.
 MAX_FIGURE = 1e12
 MAX_SHOWN_CHARS = 60
 
@@ -36,20 +37,28 @@
             self._add_problem(key, value, "a string")
         return default or ""
 
-    def number(self, key, default=None, *, above=None):
-        """Return a number, ``default`` for one that is missing or null.
-
-        :param above: the number has to be above this.
-        """
+    def exact_number(self, key, default=None):
+        """Return a number as it stands, ``default`` for one that is missing or null."""
         value = self.item.get(key)
         if value is None and default is not None:
             return default
-        if not _is_number(value) or (above is not None and not value > above):
-            expected = "a number" if above is None else f"a number above {above:g}"
-            self._add_problem(key, value, expected)
+        if not _is_number(value):
+            self._add_problem(key, value, "a number")
             return default or 0
         return value
 
+    def number(self, key, default=None):
+        """Return a number between plus and minus `MAX_FIGURE`.
+
+        :param default: returned in place of a number that is missing or null.
+        """
+        return max(-MAX_FIGURE, min(self.exact_number(key, default), MAX_FIGURE))
+
+    def number_above_0(self, key, default):
+        """Return a number up to `MAX_FIGURE`, ``default`` if there is none above 0."""
+        value = self.number(key, 0)
+        return value if value > 0 else default
+
     def figure(self, key):
         """Return a number from 0 to `MAX_FIGURE`, 0 if it is missing or of no use.
 
@@ -59,8 +68,8 @@
         value = self.item.get(key)
         if value is None:
             return 0.0
-        if _is_number(value) and 0 <= value <= MAX_FIGURE:
-            return float(value)
+        if _is_number(value) and value >= 0:
+            return float(min(value, MAX_FIGURE))
         log.warning(
             "figure not usable", field=f"{self.path}.{key}", value=_shorten(value)
         )
@@ -133,11 +142,7 @@
 def _is_number(value):
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
-    return (
-        isinstance(value, int)
-        and abs(value) <= MAX_FIGURE
-        or (isinstance(value, float) and math.isfinite(value))
-    )
+    return isinstance(value, int) or math.isfinite(value)
 
 
 def _shorten(value):
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -36,6 +36,8 @@
 MS_PER_S = 1000
 MAX_PART_ID_CHARS = 40
 MAX_TOKENS = 10**9
+MAX_REQUESTS = 10**6
+MAX_COLD_MS = 2**40
 MAX_LOGGED_LIMIT_CHARS = 40
 
 # Hop-by-hop headers, and headers that the daemon sets itself.
@@ -72,11 +74,13 @@
 
     def needs(self, headers):
         """Return the `RequestNeeds` decoded from a request's ``headers``."""
-        deadline_ms = _float_or_none(headers.get(DEADLINE))
+        deadline_ms = _finite_or_none(headers.get(DEADLINE))
         prompt_tokens, max_answer_tokens = _token_counts(headers.get(TOKEN_COUNT))
         return RequestNeeds(
             attempt_id=self.decode_attempt_id(headers),
-            deadline_s=None if deadline_ms is None else deadline_ms / MS_PER_S,
+            deadline_s=None
+            if deadline_ms is None
+            else max(0.0, deadline_ms) / MS_PER_S,
             key=_bearer_token(decode_field(headers.get(AUTHORIZATION, ""))),
             model=decode_field(headers.get(MODEL, "")),
             last_event_id=decimal_or_none(headers.get(LAST_EVENT, "").strip()),
@@ -198,7 +202,7 @@
 
 
 def _engine_load(text):
-    numbers = [decimal_or_none(part.strip()) for part in (text or "").split(",")]
+    numbers = _decimals(text, most=MAX_REQUESTS)
     if len(numbers) != 3 or None in numbers:
         return None
     return EngineLoad(*numbers)
@@ -206,15 +210,20 @@
 
 def _token_counts(text):
     """Return the tokens of the prompt and the most of the answer, 0 where unknown."""
-    counts = [decimal_or_none(part.strip()) for part in (text or "").split(",")]
+    counts = _decimals(text, most=MAX_TOKENS)
     if len(counts) != 2 or None in counts:
         return 0, 0
-    return tuple(min(count, MAX_TOKENS) for count in counts)
+    return tuple(counts)
+
+
+def _decimals(text, *, most):
+    parts = (text or "").split(",")
+    return [decimal_or_none(part.strip(), most=most) for part in parts]
 
 
 def _milliseconds(text):
     """Return the seconds that a number of milliseconds is, ``None`` if unreadable."""
-    milliseconds = decimal_or_none((text or "").strip())
+    milliseconds = decimal_or_none((text or "").strip(), most=MAX_COLD_MS)
     return None if milliseconds is None else milliseconds / MS_PER_S
 
 
@@ -235,6 +244,11 @@
     return NamedLimit(per_s)
 
 
+def _finite_or_none(text):
+    number = _float_or_none(text)
+    return number if number is not None and math.isfinite(number) else None
+
+
 def _float_or_none(text):
     try:
         return float(text) if text else None
--- a/pimentogap/platform/_objects.py
+++ b/pimentogap/platform/_objects.py
@@ -27,7 +27,7 @@
     Watch,
     Written,
 )
-from pimentogap.types import HttpRequest, TransferLimits
+from pimentogap.types import HttpRequest, TransferLimits, exact_decimal_or_none
 
 log = Logger("platform.objects")
 
@@ -39,7 +39,6 @@
 MS_PER_S = 1000
 # Rises each time the store comes back from a copy.
 ERA = "Store-Era"
-MAX_ERA_DIGITS = 9
 
 
 class ObjectTransport:
@@ -89,7 +88,7 @@
                 self._check_era(call)
             data = _load(call, response)
             _check_name(call, data)
-            answer = _decode(call, response.status, data, era)
+            answer = _read_answer(call, response.status, data, era)
         except ConnectionFailed as error:
             raise StoreUnavailable(str(error))
         except ResponseLost as error:
@@ -150,8 +149,7 @@
 
 
 def _era(headers):
-    text = headers.get(ERA, "0")
-    return int(text) if text.isdecimal() and len(text) <= MAX_ERA_DIGITS else 0
+    return exact_decimal_or_none(headers.get(ERA, "").strip()) or 0
 
 
 def _encode(call):
@@ -178,6 +176,17 @@
             raise StoreError(f"the object API has no call for {call}")
 
 
+def _read_answer(call, status, data, era):
+    """Return the answer that ``data`` is.
+
+    :raises ResponseLost: if it is not what the object API gives.
+    """
+    try:
+        return _decode(call, status, data, era)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ResponseLost(f"the answer to {type(call).__name__} is odd: {error!r}")
+
+
 def _decode(call, status, data, era):
     match call, status:
         case Get(), 200:
--- a/pimentogap/relay/_changes.py
+++ b/pimentogap/relay/_changes.py
@@ -116,11 +116,11 @@
         bool(data["whole"]),
         tuple(Change(_stored(n, v, value), r) for n, v, value, r in data["changes"]),
         tuple(_stored(n, v, value) for n, v, value in data["objects"]),
-        Revision(data["revision"]),
+        Revision.read(data["revision"]),
         float(data["regained_s"]),
         known,
     )
 
 
 def _stored(name, version, value):
-    return Stored(name, Revision(version), value)
+    return Stored(name, Revision.read(version), value)
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -32,8 +32,9 @@
 
 log = Logger("relay")
 
-# The call had another name as long as revisions had no era.
-CHANGES_CALL = "collection_changes"
+# The call has another name wherever revisions are encoded in another way, so that
+# daemons of two releases read the store and not each other.
+CHANGES_CALL = "collection_updates"
 # Pause between two reads, so that changes close together cost a single call.
 BATCH_INTERVAL_S = 0.3
 LEADER_BATCH_INTERVAL_S = 0.15
--- a/pimentogap/schema/_malformed.py
+++ b/pimentogap/schema/_malformed.py
@@ -6,8 +6,8 @@
 from pimentogap.schema._check import Problem
 
 # Terms and serials grow by one; a larger number is none of ours, and would be newer
-# than all that follow.
-MAX_COUNT = 10**15
+# than all that follow. Terms begin at a million times the store's era.
+MAX_COUNT = 2**80
 
 
 @contextmanager
--- a/pimentogap/store/_revisions.py
+++ b/pimentogap/store/_revisions.py
@@ -1,7 +1,7 @@
 """Revisions of a store that may come back from an older copy."""
 
-# Far more than the changes of one era.
-REVISIONS_PER_ERA = 10**12
+# More than any count of 64 bits, wherever a store begins to count.
+REVISIONS_PER_ERA = 2**80
 
 
 class Revision(int):
@@ -16,8 +16,26 @@
 
     @classmethod
     def of(cls, era, number):
-        """Return the revision that the store calls ``number`` in ``era``."""
-        return cls(era * REVISIONS_PER_ERA + number)
+        """Return the revision that the store calls ``number`` in ``era``.
+
+        :raises ValueError: if ``number`` is no whole number from 0 to
+            `REVISIONS_PER_ERA`.
+        """
+        if isinstance(number, bool) or not isinstance(number, int | float):
+            raise ValueError(f"revision {number!r} is not a number")
+        if not 0 <= number < REVISIONS_PER_ERA or number != int(number):
+            raise ValueError(f"revision {number!r} is out of range")
+        return cls(era * REVISIONS_PER_ERA + int(number))
+
+    @classmethod
+    def read(cls, value):
+        """Return the revision that another daemon has sent as ``value``.
+
+        :raises ValueError: if it is none.
+        """
+        if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+            raise ValueError(f"{value!r} is no revision")
+        return cls(value)
 
     @property
     def era(self):
--- a/pimentogap/types/__init__.py
+++ b/pimentogap/types/__init__.py
@@ -26,7 +26,11 @@
     VmState,
 )
 from pimentogap.types._http import HttpRequest, HttpResponse, TransferLimits
-from pimentogap.types._numbers import decimal_or_none, is_above
+from pimentogap.types._numbers import (
+    decimal_or_none,
+    exact_decimal_or_none,
+    is_above,
+)
 from pimentogap.types._orders import (
     CloseGroup,
     JoinGroup,
@@ -124,6 +128,7 @@
     "WeightStore",
     "Workspace",
     "decimal_or_none",
+    "exact_decimal_or_none",
     "is_above",
     "key_of",
     "not_run",
--- a/pimentogap/types/_numbers.py
+++ b/pimentogap/types/_numbers.py
@@ -1,15 +1,34 @@
 """Reads numbers that other processes send as text."""
 
-# No field needs more; Python refuses to convert texts of over 4,300 digits.
+# Far more than any quantity needs; products of such numbers fit into a float.
 MAX_DIGITS = 18
+# Python refuses to convert texts of over 4,300 digits.
+MAX_EXACT_DIGITS = 4000
 
 
-def decimal_or_none(text):
+def decimal_or_none(text, *, most=None):
     """Return the value of ``text`` if it is a number of ASCII digits, else ``None``.
 
-    :param text: `str` or `bytes`; one of more than `MAX_DIGITS` digits is no number.
+    :param text: `str` or `bytes`.
+    :param most: returned in place of a larger number; without it, one of more than
+        `MAX_DIGITS` digits is no number.
     """
-    if len(text) > MAX_DIGITS or not text.isascii() or not text.isdigit():
+    if not text.isascii() or not text.isdigit():
+        return None
+    if len(text) > MAX_DIGITS:
+        text = text.lstrip(b"0" if isinstance(text, bytes) else "0") or text[:1]
+    if len(text) > MAX_DIGITS:
+        return most
+    return int(text) if most is None else min(int(text), most)
+
+
+def exact_decimal_or_none(text):
+    """Return the value of ``text`` if it is a number of ASCII digits, else ``None``.
+
+    It is exact, since it is compared with others; a text of more than
+    `MAX_EXACT_DIGITS` digits is no number.
+    """
+    if len(text) > MAX_EXACT_DIGITS or not text.isascii() or not text.isdigit():
         return None
     return int(text)
 
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -38,6 +38,7 @@
 MAX_STRAY_BYTES = 2**20
 KEEP_ALIVE_MARGIN_S = 1.0
 DEFAULT_IDLE_LIMIT_S = 4.0
+MAX_IDLE_S = 86_400
 BODY_METHODS = ("POST", "PUT", "PATCH")
 
 
@@ -346,7 +347,7 @@
         return 0.0
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        seconds = decimal_or_none(value)
+        seconds = decimal_or_none(value, most=MAX_IDLE_S)
         if name.lower() == "timeout" and seconds is not None:
             return max(0.0, seconds - KEEP_ALIVE_MARGIN_S)
     return DEFAULT_IDLE_LIMIT_S
