--- a/features/platform/drains.feature
+++ b/features/platform/drains.feature
@@ -23,6 +23,41 @@
       | all but the last daemon | unanswered | 5.5 | 0.0   |
       | nobody                  | unanswered | 5.5 | 0.0   |
 
+  # Guards against: a daemon that cannot learn whether the store was away puts removals
+  # off for longer than servers that leave serve on (DRAIN).
+  Scenario Outline: <who>, cut off for <cut> s, drops a replica that leaves <later> s later though no daemon <answers>
+    Given a platform with 3 fabric domains of 8 replicas and 6 daemons
+    And its groups are open
+    When no daemon <answers> about the store
+    And the calls of <who> to the store are unanswered for <cut> seconds
+    And <later> seconds pass
+    And look-ups arrive at every daemon, 60 a second
+    And 0.1 seconds pass
+    And the entries of plain replicas 0 and 1 are removed one second apart, and watched for 3 seconds
+    Then no daemon sent them a request later than 1 seconds after it knew
+    And no plain replica got a request later than 2 seconds after its entry was removed
+    And every look-up was answered
+
+    Examples:
+      | who                     | cut | later | answers          |
+      | the leader              | 2.5 | 0.0   | answers          |
+      | the leader              | 5.5 | 0.8   | answers in time  |
+      | the relay               | 5.5 | 0.0   | answers          |
+      | the relay               | 5.5 | 0.8   | answers          |
+      | all but the last daemon | 5.5 | 0.0   | answers          |
+      | all but the last daemon | 5.5 | 0.4   | answers in time  |
+      | every daemon            | 5.5 | 0.0   | answers          |
+      | every daemon            | 2.5 | 0.4   | answers          |
+      | every daemon            | 5.5 | 0.8   | answers in time  |
+
+  # Guards against: for how long the store has answered is passed on as it was when the
+  # answer was first made, so that each daemon on the way adds to the time.
+  Scenario: A daemon that is told of a removal knows for how long the store has answered
+    Given a platform with 3 fabric domains of 8 replicas and 6 daemons
+    And its groups are open
+    When each daemon asks the leader for the same changes, 0.1 seconds apart
+    Then each is told a time that is longer by 0.1 seconds
+
   # Guards against: a server of a small list is a large share of it, and taken for lapsed.
   Scenario Outline: <leaving> of <plain> replicas of a deployment leave
     Given a platform with <plain> plain replicas alone and <daemons> daemons
--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -9,11 +9,16 @@
 from features.steps.daemon_steps import inner_address, leader_and_others
 from features.steps.platform_steps import start_request
 from pimentogap.permits._known import BackendLimit
+from pimentogap.relay._contact import CONTACT_CALL, CONTACT_TIMEOUT_S
+from pimentogap.relay._service import CHANGES_CALL
 from standins.emulator import EmulatedFleet
 
 ZONES = ("z-a", "z-b", "z-c")
 START_S = 4.0
 CONNECT_S = 0.36
+WATCH_STEP_S = 0.01
+# The field of an answer with changes that says for how long the store has answered.
+CONTACT_FIELD = "regained_s"
 
 
 @given("a platform with {plain:d} plain replicas alone and {daemons:d} daemons")
@@ -65,11 +70,25 @@
             return relays[:1] or [leader]
         case "another daemon":
             return others[-1:]
+        case "every daemon":
+            return [leader, *others]
         case "all but the last daemon":
             return [leader, *others[:-1]]
     return []
 
 
+@when("no daemon {answers} about the store")
+def when_no_answers(context, answers):
+    delay_s = 2 * CONTACT_TIMEOUT_S if answers == "answers in time" else 3600.0
+
+    async def answer_late(body):
+        await asyncio.sleep(delay_s)
+        return {"era": 1, "answering_s": 3600.0}
+
+    for kernel in context.simulation.fleet.kernels_by_name.values():
+        kernel.get("calls").register(CONTACT_CALL, answer_late)
+
+
 @when("look-ups arrive at every daemon, {rate:d} a second")
 def when_look_ups_arrive(context, rate):
     context.lookups = []
@@ -105,6 +124,73 @@
     _remove_entry(context, "p-1")
 
 
+@when(
+    "the entries of plain replicas 0 and 1 are removed one second apart,"
+    " and watched for {seconds:g} seconds"
+)
+def when_removed_and_watched(context, seconds):
+    context.known_at = {}
+    _remove_entry(context, "p-0")
+    _watch_knowledge(context, 1.0)
+    _remove_entry(context, "p-1")
+    _watch_knowledge(context, seconds)
+
+
+def _watch_knowledge(context, seconds):
+    """Note when the copy of each daemon first lacks the removed entries."""
+    until = _now(context) + seconds
+    while (now := _now(context)) < until:
+        for name, kernel in context.simulation.fleet.kernels_by_name.items():
+            subscription = kernel.get("relay")._subscriptions_by_collection["servers"]
+            listed = {stored.name for stored in subscription.changes.objects()}
+            for id_ in context.removed_at_by_id.keys() - listed:
+                context.known_at.setdefault((name, id_), now)
+        context.simulation.wait(WATCH_STEP_S)
+
+
+@then("no daemon sent them a request later than {limit:g} seconds after it knew")
+def then_none_after_knowing(context, limit):
+    daemons_by_id = {request.id: request.daemon for request in context.lookups}
+    kernels_by_name = context.simulation.fleet.kernels_by_name
+    expected = {(name, id_) for name in kernels_by_name for id_ in ("p-0", "p-1")}
+    assert context.known_at.keys() == expected, expected - context.known_at.keys()
+    late = []
+    for run in context.simulation.fleet.records.runs:
+        known_at = context.known_at.get(
+            (daemons_by_id.get(run.attempt_id), run.replica)
+        )
+        if known_at is not None and run.started_at > known_at + limit:
+            late.append((run.replica, round(run.started_at - known_at, 3)))
+    assert not late, (len(late), late[-1])
+
+
+@when(
+    "each daemon asks the leader for the same changes, {pause:g} seconds apart",
+)
+def when_same_changes(context, pause):
+    leader, others = leader_and_others(context)
+    kernels_by_name = context.simulation.fleet.kernels_by_name
+    address = kernels_by_name[leader].get("calls").address
+    revision = kernels_by_name[leader].get("directory").revision
+    body = {"collection": "servers", "since": revision, "wait_s": 0.0, "from_relay": 1}
+    context.told_s = []
+    for name in others:
+        calls = kernels_by_name[name].get("calls")
+
+        async def ask(calls=calls):
+            return await calls.call(address, CHANGES_CALL, body, timeout_s=1.0)
+
+        answer = context.simulation.run(ask())
+        context.told_s.append(answer[CONTACT_FIELD])
+        context.simulation.wait(pause)
+
+
+@then("each is told a time that is longer by {pause:g} seconds")
+def then_longer(context, pause):
+    steps = [b - a for a, b in zip(context.told_s, context.told_s[1:], strict=False)]
+    assert steps and all(pause <= step < pause + 0.02 for step in steps), steps
+
+
 @when("the entries of the first {count:d} plain replicas are removed")
 def when_first_removed(context, count):
     for index in range(count):
--- a/pimentogap/directory/_service.py
+++ b/pimentogap/directory/_service.py
@@ -9,7 +9,7 @@
 from pimentogap.directory._cold import ColdServers
 from pimentogap.directory._copies import CopyGuard, later_view
 from pimentogap.directory._groups import build_group_views
-from pimentogap.relay import REREGISTRATION_S
+from pimentogap.relay import CONTACT_TIMEOUT_S, REREGISTRATION_S
 from pimentogap.store import Revision
 from pimentogap.types import BackendState, MemberState
 
@@ -27,6 +27,10 @@
 GHOST_LIMIT_S = 10.0
 # A server that took no connection is tried again within this time.
 RETURN_DOUBT_S = 8.0
+# Unless others confirm that the store was away, a server that is gone gets no requests
+# after this share of the time for which it serves on.
+UNCONFIRMED_DRAIN_SHARE = 0.5
+SEND_MARGIN_S = 0.05
 # Ids in the log line of a change that the leader logs in full.
 MAX_LOGGED_IDS = 5
 MAX_LOGGED_CHARS = 100
@@ -69,14 +73,16 @@
         "_deferred_by_id",
         "_copies",
         "_cold",
+        "_max_unconfirmed_s",
     )
 
-    def __init__(self, collection, decode):
+    def __init__(self, collection, decode, *, drain_s):
         """Name the collection that holds the entries of backend servers.
 
         :param collection: the name of the collection.
         :param decode: a function that returns the `Backend` of an entry's name and
             value, or ``None`` if the entry is invalid.
+        :param drain_s: the seconds for which a backend server that leaves serves on.
         """
         self.backends_by_id = {}
         self.absent_by_id = {}
@@ -96,6 +102,8 @@
         self._deferred_by_id = {}
         self._copies = CopyGuard()
         self._cold = ColdServers()
+        asking_s = CONTACT_TIMEOUT_S + SEND_MARGIN_S
+        self._max_unconfirmed_s = drain_s * UNCONFIRMED_DRAIN_SHARE - asking_s
 
     async def start(self, kernel):
         """Follow the collection through the relay service."""
@@ -199,7 +207,7 @@
         if went_back:
             self._defer_copies(before, after)
         if update.store_contact_s < REREGISTRATION_S:
-            self._defer_removals(before, after, update.store_contact_s)
+            self._defer_removals(before, after, update)
         else:
             self._end_deferrals(after)
         self.revision = update.revision
@@ -261,12 +269,13 @@
             del self.absent_by_id[backend.id]
             self.invalidate()
 
-    def _defer_removals(self, before, after, store_contact_s):
+    def _defer_removals(self, before, after, update):
         """Keep entries that may have expired while the store was away.
 
-        They go when live servers have had the time to write them again.
+        They go when live servers have had the time to write them again, or sooner if
+        nobody confirms that the store was away.
 
-        :param store_contact_s: the seconds for which the store has answered.
+        :param update: the `CollectionUpdate` without the entries.
         """
         deferred_by_id = {
             id_: before[id_]
@@ -277,13 +286,17 @@
         )
         if not deferred_by_id:
             return
-        wait_s = REREGISTRATION_S - store_contact_s
+        wait_s = REREGISTRATION_S - update.store_contact_s
+        if not update.outage_confirmed:
+            wait_s = max(0.0, min(wait_s, self._max_unconfirmed_s))
         log.info(
             "removal of backends deferred",
             count=len(deferred_by_id),
             first=sorted(deferred_by_id)[:MAX_LOGGED_IDS],
             seconds=round(wait_s, 3),
-            rev=self.revision,
+            contact_s=round(update.store_contact_s, 3),
+            outage_confirmed=update.outage_confirmed,
+            rev=update.revision,
         )
         after.update(deferred_by_id)
         self._deferred_by_id.update(deferred_by_id)
--- a/pimentogap/forwarding/_attempts.py
+++ b/pimentogap/forwarding/_attempts.py
@@ -20,7 +20,9 @@
     """The attempts made for one request.
 
     ``outcomes`` has pairs of a backend server's id and the attempt's outcome;
-    ``possible_runs`` counts those that may have run, the current one included.
+    ``sent_at`` has the time at which the request was about to be sent, for each time
+    that a connection was open for it; ``possible_runs`` counts the attempts that may
+    have run, the current one included.
     ``event_filter`` is the `EventFilter` of a stream, or ``None``. ``is_trial`` says
     that the current attempt tries out a quarantined part of the prompt. ``claim`` is
     the request's `Claim` if it competes for places, ``urgency`` its rank at the backend
@@ -29,6 +31,7 @@
 
     __slots__ = (
         "outcomes",
+        "sent_at",
         "possible_runs",
         "excluded_ids",
         "event_filter",
@@ -40,6 +43,7 @@
 
     def __init__(self, event_filter, claim=None):
         self.outcomes = []
+        self.sent_at = []
         self.possible_runs = 0
         self.excluded_ids = set()
         self.event_filter = event_filter
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -191,6 +191,11 @@
             sends=[(id_, outcome_name(o)) for id_, o in attempts.outcomes]
             if attempts
             else [],
+            sent_ms=[
+                round((at - request.received_at) * 1000) for at in attempts.sent_at
+            ]
+            if attempts
+            else [],
             version=configuration.version if configuration else None,
             list_rev=self._directory.revision,
         )
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -305,6 +305,13 @@
         """Return whether ``backend`` still takes requests, after the request waited."""
         return self._pauses.is_current() and self._directory.takes_requests(backend)
 
+    def _may_send_now(self, backend, attempts):
+        """Return the same on an open connection, just before the first byte."""
+        may_send = self._may_send(backend)
+        if may_send:
+            attempts.sent_at.append(self._kernel.clock.time())
+        return may_send
+
     async def _screen(self, request, admitted):
         """Return whether the parts of the prompt allow an attempt now."""
         parts = request.needs.shared_parts
@@ -414,7 +421,7 @@
                 receiver,
                 fresh=not route.repeatable,
                 connect_s=CONNECT_TIMEOUT_S,
-                may_send=partial(self._may_send, backend),
+                may_send=partial(self._may_send_now, backend, attempts),
             )
             return receiver.conclude()
         except ConnectionFailed as error:
--- a/pimentogap/platform/_settings.py
+++ b/pimentogap/platform/_settings.py
@@ -53,6 +53,7 @@
         entry_lifetime_s=BEATS_UNTIL_REMOVAL
         * float(data.get("beatIntervalMs") or DEFAULT_BEAT_MS)
         / 1000,
+        drain_s=float(bounds.get("drainMs", 2000)) / 1000,
         load_window_s=float(bounds.get("ceilingWindowS", 5)),
         # The share of a core that runs as fast as this many cores.
         cores=float(limits.get("cpuShare") or 1) * float(limits.get("cpuCores") or 1),
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -135,7 +135,7 @@
         ServingConfigurationService(
             CONFIGURATION_COLLECTION, CONFIGURATION_NAME, decode_configuration
         ),
-        DirectoryService(BACKEND_COLLECTION, decode_backend),
+        DirectoryService(BACKEND_COLLECTION, decode_backend, drain_s=settings.drain_s),
         EvacuationService(EVACUATION_COLLECTION, settings.evacuation_s),
         DaemonsService(settings),
         StoreContactService(),
--- a/pimentogap/relay/_answering.py
+++ b/pimentogap/relay/_answering.py
@@ -3,7 +3,7 @@
 from logbook import Logger
 
 from pimentogap.calls import PersonalAnswer, SharedAnswer
-from pimentogap.relay._changes import CollectionUpdate, dump
+from pimentogap.relay._changes import CONTACT_FIELD, CollectionUpdate, dump
 
 log = Logger("relay")
 
@@ -66,6 +66,8 @@
         return PersonalAnswer(
             self._shared_answer(subscription, since),
             {
+                # Not shared, since it grows while the shared part is kept.
+                CONTACT_FIELD: self._clock.time() - subscription.store_answers_since,
                 KNOWN_FIELD: subscription.known.since_question_s(question_at),
                 MARK_FIELD: subscription.known.at,
                 LEASE_FIELD: self._tell_lease(),
@@ -119,14 +121,11 @@
 
     def _update_since(self, subscription, since):
         changes, known = subscription.changes, subscription.known
-        contact_s = self._clock.time() - subscription.store_answers_since
         changed = changes.after(since)
         if changed is None:
             objects = changes.objects()
-            return CollectionUpdate(
-                True, (), objects, changes.revision, contact_s, known
-            )
-        return CollectionUpdate(False, changed, (), changes.revision, contact_s, known)
+            return CollectionUpdate(True, (), objects, changes.revision, 0.0, known)
+        return CollectionUpdate(False, changed, (), changes.revision, 0.0, known)
 
 
 def _has_news(subscription, body):
--- a/pimentogap/relay/_changes.py
+++ b/pimentogap/relay/_changes.py
@@ -7,6 +7,8 @@
 from pimentogap.store import Change, Revision, Stored
 
 MAX_CHANGES = 1000
+# For how long the store has answered, when the answer with the changes was given.
+CONTACT_FIELD = "regained_s"
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,7 +17,8 @@
 
     It holds all ``objects`` if ``is_snapshot``, else the ``changes`` since the
     previous read. ``store_contact_s`` is the time in seconds for which the store is
-    known to have answered without a gap. ``known`` is the `KnownAt` of a copy to which
+    known to have answered without a gap; if that is short, ``outage_confirmed`` says
+    whether other daemons lost it too. ``known`` is the `KnownAt` of a copy to which
     the update was applied.
     """
 
@@ -25,6 +28,7 @@
     revision: int
     store_contact_s: float
     known: KnownAt
+    outage_confirmed: bool = False
 
     @property
     def has_news(self):
@@ -93,7 +97,7 @@
 
 
 def dump(update):
-    """Return ``update`` without its ``known`` as plain data that JSON can express."""
+    """Return what all who are sent ``update`` share, as plain data for JSON."""
     return {
         "whole": update.is_snapshot,
         "changes": [
@@ -102,13 +106,14 @@
         ],
         "objects": [[s.name, s.version, s.value] for s in update.objects],
         "revision": update.revision,
-        "regained_s": update.store_contact_s,
     }
 
 
 def load(data, known):
     """Return the `CollectionUpdate` that `dump` turned into ``data``.
 
+    ``data`` has `CONTACT_FIELD` besides.
+
     :param known: its `KnownAt`, which depends on who asked when.
     :raises KeyError, TypeError, ValueError: if ``data`` is malformed.
     """
@@ -117,7 +122,7 @@
         tuple(Change(_stored(n, v, value), r) for n, v, value, r in data["changes"]),
         tuple(_stored(n, v, value) for n, v, value in data["objects"]),
         Revision.read(data["revision"]),
-        float(data["regained_s"]),
+        float(data[CONTACT_FIELD]),
         known,
     )
 
--- a/pimentogap/relay/_contact.py
+++ b/pimentogap/relay/_contact.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from dataclasses import dataclass, replace
 
 from logbook import Logger
 
@@ -22,6 +23,27 @@
 REREGISTRATION_S = 1.8
 
 
+@dataclass(frozen=True, slots=True)
+class Opinion:
+    """What other daemons have told about the store.
+
+    ``longest_s`` is the longest time for which it has answered one of them. Of
+    ``asked`` daemons ``witnesses`` have called the store lately and told so.
+    """
+
+    longest_s: float
+    asked: int = 0
+    witnesses: int = 0
+
+    @property
+    def confirms_outage(self):
+        """Return whether most others call the store, and none got answers all along.
+
+        Without that, the daemon that asks may have been cut off alone.
+        """
+        return self.longest_s < REREGISTRATION_S and 2 * self.witnesses > self.asked
+
+
 class StoreContactService:
     """Tells for how long the store has answered, to this daemon or to any other.
 
@@ -39,8 +61,8 @@
         "_daemons",
         "_lock",
         "_told_era",
-        "_told_since",
-        "_told_until",
+        "_told",
+        "_told_at",
     )
 
     def __init__(self):
@@ -50,8 +72,8 @@
         self._daemons = None
         self._lock = asyncio.Lock()
         self._told_era = 0
-        self._told_since = math.inf
-        self._told_until = -math.inf
+        self._told = Opinion(0.0)
+        self._told_at = -math.inf
 
     async def start(self, kernel):
         """Register the call by which other daemons ask."""
@@ -72,34 +94,43 @@
         """
         return self._store.answering_s() if self._store.era == era else 0.0
 
-    async def others_s(self, era):
-        """Ask other daemons, and return the longest time that one of them tells."""
+    async def ask_others(self, era):
+        """Ask other daemons, and return their `Opinion`."""
         async with self._lock:
-            now = self._kernel.clock.time()
-            if now >= self._told_until or self._told_era != era:
-                told_s = await self._ask_others(era)
-                now = self._kernel.clock.time()
+            age_s = self._kernel.clock.time() - self._told_at
+            if age_s >= ANSWER_LIFETIME_S or self._told_era != era:
+                self._told = await self._collect(era)
                 self._told_era = era
-                self._told_since = now - told_s
-                self._told_until = now + ANSWER_LIFETIME_S
-            return now - self._told_since
+                self._told_at = self._kernel.clock.time()
+                age_s = 0.0
+            longest_s = self._told.longest_s + age_s if self._told.longest_s else 0.0
+            return replace(self._told, longest_s=longest_s)
 
-    async def _ask_others(self, era):
+    async def _collect(self, era):
+        addresses = self._addresses_to_ask()
         asked = [
-            asyncio.ensure_future(self._ask(address, era))
-            for address in self._addresses_to_ask()
+            asyncio.ensure_future(self._ask(address, era)) for address in addresses
         ]
-        longest_s = 0.0
+        told_s_by_address = {}
         try:
             for answer in asyncio.as_completed(asked):
-                longest_s = max(longest_s, await answer)
-                if longest_s >= REREGISTRATION_S:
+                address, told_s = await answer
+                if told_s is not None:
+                    told_s_by_address[address] = told_s
+                if (told_s or 0.0) >= REREGISTRATION_S:
                     break
         finally:
             for task in asked:
                 task.cancel()
-        log.info("others asked about the store", count=len(asked), told_s=longest_s)
-        return longest_s
+        longest_s = max(told_s_by_address.values(), default=0.0)
+        opinion = Opinion(longest_s, len(asked), len(told_s_by_address))
+        log.info(
+            "others asked about the store",
+            asked=addresses,
+            told_s={at: round(told, 3) for at, told in told_s_by_address.items()},
+            outage=opinion.confirms_outage,
+        )
+        return opinion
 
     def _addresses_to_ask(self):
         lease = self._kernel.find("lease")
@@ -112,19 +143,28 @@
         return [address for address in addresses if address not in own][:MAX_ASKED]
 
     async def _ask(self, address, era):
+        """Return ``address`` and the seconds told, ``None`` if it cannot tell."""
         try:
             async with self._kernel.clock.timeout(CONTACT_TIMEOUT_S):
                 answer = await self._calls.call(
                     address, CONTACT_CALL, {}, timeout_s=CONTACT_TIMEOUT_S
                 )
             told_s = float(answer["answering_s"]) if answer["era"] == era else 0.0
+            # Daemons of earlier releases do not say whether they call the store.
+            has_called = answer.get("has_called", True) is True
         except (PeerUnreachable, ResponseLost, TimeoutError) as error:
-            log.debug("daemon does not answer", daemon=address, error=repr(error))
-            return 0.0
-        except (KeyError, TypeError, ValueError) as error:
+            log.info("daemon does not answer", daemon=address, error=repr(error))
+            return address, None
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             log.warning("answer not readable", daemon=address, error=repr(error))
-            return 0.0
-        return told_s if 0.0 <= told_s < math.inf else 0.0
+            return address, None
+        if not 0.0 <= told_s < math.inf or (not has_called and not told_s):
+            return address, None
+        return address, told_s
 
     async def _answer_contact(self, body):
-        return {"era": self._store.era, "answering_s": self._store.answering_s()}
+        return {
+            "era": self._store.era,
+            "answering_s": self._store.answering_s(),
+            "has_called": self._store.has_called(),
+        }
--- a/pimentogap/relay/_service.py
+++ b/pimentogap/relay/_service.py
@@ -354,9 +354,16 @@
         """
         era = Revision(update.revision).era
         contact_s = max(update.store_contact_s, self._contact.own_s(era))
-        if contact_s < REREGISTRATION_S and subscription.changes.removes(update):
-            contact_s = max(contact_s, await self._contact.others_s(era))
-        return replace(update, store_contact_s=contact_s)
+        if contact_s >= REREGISTRATION_S or not subscription.changes.removes(update):
+            return replace(update, store_contact_s=contact_s)
+        began_at = self._kernel.clock.time()
+        opinion = await self._contact.ask_others(era)
+        contact_s += self._kernel.clock.time() - began_at
+        return replace(
+            update,
+            store_contact_s=max(contact_s, opinion.longest_s),
+            outage_confirmed=opinion.confirms_outage,
+        )
 
     async def _read_relay(self, address, subscription, revision, *, may_wait):
         """Return the `CollectionUpdate` since ``revision`` from another daemon.
--- a/pimentogap/settings/_front.py
+++ b/pimentogap/settings/_front.py
@@ -18,6 +18,7 @@
     and ``max_descriptors`` are what a process may use before the platform ends it or
     refuses it sockets. A backend server that is cold gets at most ``cold_overrun``
     times its rate and ``cold_slack`` requests in a second from all daemons.
+    A backend server that leaves serves on for ``drain_s``.
     ``evacuation_s`` is the time in which a zone's evacuation takes effect, 0 if zones
     are not evacuated. ``scarce_room`` says that callers may compete for too
     little room at the backend servers, so that daemons share what they know of it.
@@ -39,6 +40,7 @@
     load_window_s: float = 5.0
     react_s: float = 3.0
     entry_lifetime_s: float = 3.6
+    drain_s: float = 2.0
     cores: float = 1.0
     link_mbps: float = 1000.0
     memory_mb: float = 300.0
--- a/pimentogap/settling/_service.py
+++ b/pimentogap/settling/_service.py
@@ -76,7 +76,7 @@
 
     async def _ask_others(self):
         era = self._store.era
-        told_s = await self._contact.others_s(era)
+        told_s = (await self._contact.ask_others(era)).longest_s
         self._told_era = era
         self._told_since = self._kernel.clock.time() - told_s
         if self.is_settled():
--- a/pimentogap/store/_client.py
+++ b/pimentogap/store/_client.py
@@ -119,6 +119,7 @@
         "_breaker",
         "calls_by_kind",
         "last_answer_at",
+        "_last_call_at",
         "_timeout_s",
         "_vm_list",
         "_failing_since",
@@ -139,6 +140,7 @@
         self._breaker = None
         self.calls_by_kind = {}
         self.last_answer_at = -math.inf
+        self._last_call_at = -math.inf
         self._vm_list = VmList("", ())
         self._failing_since = None
         self._answering_since = math.inf
@@ -163,6 +165,13 @@
             return 0.0
         return max(0.0, now - self._answering_since)
 
+    def has_called(self):
+        """Return whether this daemon has called the store just before.
+
+        If not, it cannot tell whether the store answers.
+        """
+        return self._kernel.clock.time() - self._last_call_at <= MAX_ANSWER_GAP_S
+
     def is_in_doubt(self):
         """Return whether the store has failed several calls in a row, and no other."""
         return self._breaker.is_in_doubt()
@@ -282,6 +291,7 @@
 
     async def _call(self, call):
         self._breaker.check()
+        self._last_call_at = self._kernel.clock.time()
         kind = type(call).__name__
         self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
         try:
