--- a/pimentogap/web/_client.py
+++ b/pimentogap/web/_client.py
@@ -14,6 +14,7 @@
 from pimentogap.errors import ConnectionFailed, ResponseLost, ResponseTimeout
 from pimentogap.types import HttpResponse
 from pimentogap.web._connect import connect
+from pimentogap.web._statuses import is_interim
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 32
@@ -103,6 +104,8 @@
         if headers.get("Connection", "").lower() == "close":
             self.keep_alive = False
         try:
+            if is_interim(start_line.code):
+                return
             self.receiver.headers_received(start_line.code, headers)
         except Exception as error:
             self._fail(error)
@@ -140,6 +143,13 @@
         self._connection = connection
 
     def headers_received(self, start_line, headers):
+        try:
+            if is_interim(start_line.code):
+                return
+        except ResponseLost:
+            # The status stays 0, as if no response had come.
+            self._connection.detach()
+            return
         self.status = start_line.code
         self.headers = headers
         self.chunked = "Transfer-Encoding" in headers
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -23,6 +23,7 @@
 )
 from pimentogap.types import decimal_or_none
 from pimentogap.web._connect import connect
+from pimentogap.web._statuses import is_interim
 
 log = Logger("web.pool")
 
@@ -74,10 +75,10 @@
 
     async def headers_received(self, start_line, headers):
         self.began = True
-        if 100 <= start_line.code < 200:
-            return
-        self.idle_limit_s = _idle_limit_s(headers)
         try:
+            if is_interim(start_line.code):
+                return
+            self.idle_limit_s = _idle_limit_s(headers)
             self.owned = self.receiver.is_own_answer(
                 start_line.code, headers, is_first=self.is_first
             )
