--- a/pimentogap/forwarding/_attempts.py
+++ b/pimentogap/forwarding/_attempts.py
@@ -26,7 +26,8 @@
     ``event_filter`` is the `EventFilter` of a stream, or ``None``. ``is_trial`` says
     that the current attempt tries out a quarantined part of the prompt. ``claim`` is
     the request's `Claim` if it competes for places, ``urgency`` its rank at the backend
-    server, ``None`` if the server's own default holds.
+    server, ``None`` if the server's own default holds. ``buffer`` is the `AnswerBuffer`
+    of the request.
     """
 
     __slots__ = (
@@ -39,9 +40,10 @@
         "is_trial",
         "claim",
         "urgency",
+        "buffer",
     )
 
-    def __init__(self, event_filter, claim=None):
+    def __init__(self, event_filter, buffer, claim=None):
         self.outcomes = []
         self.sent_at = []
         self.possible_runs = 0
@@ -51,6 +53,7 @@
         self.is_trial = False
         self.claim = claim
         self.urgency = None
+        self.buffer = buffer
 
 
 def outcome_name(outcome):
@@ -71,6 +74,11 @@
     return type(outcome).__name__.lower()
 
 
+def outcome_kind(name):
+    """Return the first word of an outcome's name, of which there are only a few."""
+    return name.partition(" ")[0].rstrip(":")
+
+
 def first_event_ms(request, attempts):
     """Return the ms from the request to the first event, or ``None`` without one."""
     if attempts is None or attempts.first_event_at is None:
--- a/pimentogap/forwarding/_events.py
+++ b/pimentogap/forwarding/_events.py
@@ -17,10 +17,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NewEvents:
-    """The bytes to pass on, and how many events they have that the caller wants."""
+    """The bytes to pass on, and how many events they have that the caller wants.
+
+    ``blocks`` is how many blocks were read for that, those that are dropped included.
+    """
 
     data: bytes
     count: int
+    blocks: int = 0
 
 
 NOTHING_NEW = NewEvents(b"", 0)
@@ -64,6 +68,11 @@
         """Tell whether the bytes so far end within an event."""
         return bool(self._buffer.strip())
 
+    @property
+    def buffered_bytes(self):
+        """Return how many bytes are kept for later."""
+        return len(self._buffer) + len(self._held)
+
     @property
     def partial_bytes(self):
         """Return how many bytes an incomplete event has so far, 0 for a comment."""
@@ -88,9 +97,9 @@
         new = self._drop_delivered(data)
         if not new.count and not self._has_begun:
             self._held += new.data
-            return NOTHING_NEW
+            return NewEvents(b"", 0, new.blocks)
         self._has_begun = True
-        return NewEvents(self.take_held() + new.data, new.count)
+        return NewEvents(self.take_held() + new.data, new.count, new.blocks)
 
     def take_held(self):
         """Return what came before the first event, to be passed on now."""
@@ -100,7 +109,8 @@
     def _drop_delivered(self, data):
         blocks = []
         count = 0
-        for block in data[:-2].split(b"\n\n"):
+        found = data[:-2].split(b"\n\n")
+        for block in found:
             if not block:
                 self._record_idle(block)
                 continue
@@ -115,7 +125,7 @@
             else:
                 self._record_idle(block)
         data = b"".join(block + b"\n\n" for block in blocks)
-        return NewEvents(data, count)
+        return NewEvents(data, count, len(found))
 
     def _was_delivered(self, number):
         """Return whether event ``number`` was delivered; else record that it is."""
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -3,12 +3,16 @@
 import math
 from dataclasses import dataclass
 
+from pimentogap.buffers import AnswerAccount
 from pimentogap.errors import ResponseLost
 from pimentogap.forwarding._outcomes import Delivered, Failure, Lost, NotRun
+from pimentogap.intake import ChunkMeter, ChunkTurns
 
-# A plain answer up to this size is buffered until it is complete, so that after a
-# broken one the request can still be repeated or refused.
+# A plain answer up to this size is buffered until it is complete, as far as there is
+# room, so that after a broken one the request can still be repeated or refused.
 MAX_BUFFERED_BYTES = 2**20
+# How much is read of a body that nobody gets, so that its connection can be kept.
+MAX_UNUSED_BYTES = 64 * 1024
 # Fewer bytes than this are no progress unless they complete an event: a backend server
 # that sends a byte now and then has stalled.
 MIN_PROGRESS_BYTES = 512
@@ -36,8 +40,8 @@
 class AnswerReceiver:
     """The receiver of one attempt's answer.
 
-    A plain answer is buffered until it is complete or exceeds
-    `MAX_BUFFERED_BYTES`. The caller's answer to a stream begins with the first
+    A plain answer is buffered until it is complete, exceeds `MAX_BUFFERED_BYTES` or
+    finds no room. The caller's answer to a stream begins with the first
     complete event, and later attempts continue the same answer. ``progress_at`` is
     when the head, an event or `MIN_PROGRESS_BYTES` last arrived; of a stream, only the
     bytes of an event count.
@@ -48,8 +52,11 @@
         "progress_at",
         "first_event_at",
         "_headers",
-        "_buffered_chunks",
-        "_buffered_bytes",
+        "_body",
+        "_unused_bytes",
+        "_buffer",
+        "_turns",
+        "_meter",
         "_bytes_since_progress",
         "_partial_bytes",
         "_is_passing_through",
@@ -75,6 +82,8 @@
         event_filter,
         record_wishes,
         objectives=NO_OBJECTIVES,
+        buffer=None,
+        turns=None,
     ):
         """Pass the answer on to the caller of ``request``.
 
@@ -84,13 +93,19 @@
         :param event_filter: the stream's `EventFilter`, or ``None`` for a plain answer.
         :param record_wishes: called with the `BackendAnswer` once its head has arrived.
         :param objectives: the `Objectives` of the route.
+        :param buffer: the `AnswerBuffer` that accounts for what is buffered; without
+            one, the answers are not accounted for.
+        :param turns: the `ChunkTurns` of streams, by default each has its own.
         """
         self.answer = None
         self.progress_at = clock.time()
         self.first_event_at = None
         self._headers = None
-        self._buffered_chunks = []
-        self._buffered_bytes = 0
+        self._body = bytearray()
+        self._unused_bytes = 0
+        self._buffer = buffer or AnswerAccount(math.inf).open()
+        self._turns = turns or ChunkTurns(clock, only_under_load=True)
+        self._meter = ChunkMeter()
         self._bytes_since_progress = 0
         self._partial_bytes = 0
         self._is_passing_through = False
@@ -144,8 +159,10 @@
             self._record_progress()
         if self._is_passing_through:
             await self._request.response.write(chunk)
-        else:
+        elif self._is_body_used():
             await self._buffer_chunk(chunk)
+        else:
+            self._drop_chunk(chunk)
 
     def _record_progress(self):
         now = self._clock.time()
@@ -179,18 +196,30 @@
         answer = self.answer
         return 200 <= answer.status < 300 and answer.sealed and bool(answer.attempt_id)
 
+    def _is_body_used(self):
+        """Tell whether the caller may get the body, by the answer's head."""
+        answer = self.answer
+        is_own = answer.sealed and bool(answer.attempt_id)
+        return is_own and (200 <= answer.status < 300 or not answer.not_run)
+
     async def _pass_stream(self, chunk):
         """Pass on what ``chunk`` completes, a part of it in each turn."""
         for start in range(0, len(chunk), BYTES_PER_TURN):
             if start:
                 await self._clock.sleep(0)
-            new = self._event_filter.feed(chunk[start : start + BYTES_PER_TURN])
+            part = chunk[start : start + BYTES_PER_TURN]
+            new = self._event_filter.feed(part)
+            self._meter.record_bytes(len(part))
+            if not self._buffer.resize(self._event_filter.buffered_bytes):
+                raise ResponseLost("there is no room for an incomplete event")
             if new.count:
                 self._record_event()
             else:
                 self._record_partial_event()
             if new.data:
                 await self._write(new.data)
+            if self._meter.needs_turn(new.blocks):
+                await self._turns.wait(self._meter.turns)
 
     async def _write(self, data):
         """Pass on events, and note whether the caller held up the next ones."""
@@ -236,26 +265,37 @@
         ]
         self._request.response.begin(self.answer.status, headers)
 
+    def _drop_chunk(self, chunk):
+        self._unused_bytes += len(chunk)
+        if self._unused_bytes > MAX_UNUSED_BYTES:
+            raise ResponseLost("the body of an answer that cannot be used is too large")
+
     async def _buffer_chunk(self, chunk):
-        self._buffered_chunks.append(chunk)
-        self._buffered_bytes += len(chunk)
-        if self._buffered_bytes <= MAX_BUFFERED_BYTES:
+        size = len(self._body) + len(chunk)
+        if size <= MAX_BUFFERED_BYTES and self._buffer.resize(size):
+            self._body += chunk
             return
         if not self._is_valid_success():
-            raise ResponseLost("the failure's body is too large")
+            raise ResponseLost("there is no room for the body of the failure")
         self._is_passing_through = True
-        self._request.response.begin(
-            self.answer.status, self._codec.response_headers(self._headers)
-        )
-        await self._request.response.write(b"".join(self._buffered_chunks))
-        self._buffered_chunks.clear()
+        response = self._request.response
+        headers = self._codec.response_headers(self._headers)
+        response.begin(self.answer.status, headers)
+        if self._body:
+            await response.write(self._take_body())
+            self._buffer.release()
+        await response.write(chunk)
+
+    def _take_body(self):
+        body, self._body = self._body, bytearray()
+        return body
 
     def _deliver_buffered(self):
         self._record_wait(self._clock.time())
         response = self._request.response
         if not self._is_passing_through:
             response.begin(self.answer.status, self._response_headers())
-            response.send(b"".join(self._buffered_chunks))
+            response.send(self._take_body())
         response.finish()
         return Delivered(self.answer.status)
 
@@ -265,15 +305,13 @@
             return NotRun(answer.status, _usable_s(answer), answer.culprit)
         if 200 <= answer.status < 300 or not answer.sealed or not answer.attempt_id:
             return Lost(f"answer {answer.status} without seal or id")
-        return Failure(
-            answer.status, self._response_headers(), b"".join(self._buffered_chunks)
-        )
+        headers = self._response_headers()
+        return Failure(answer.status, headers, self._take_body())
 
     def _response_headers(self):
         headers = self._codec.response_headers(self._headers)
         if not any(name.lower() == "content-length" for name, _ in headers):
-            size = sum(len(part) for part in self._buffered_chunks)
-            headers.append(("Content-Length", str(size)))
+            headers.append(("Content-Length", str(len(self._body))))
         return headers
 
 
--- a/pimentogap/forwarding/_responses.py
+++ b/pimentogap/forwarding/_responses.py
@@ -6,6 +6,7 @@
 from pimentogap.forwarding._attempts import (
     MAX_LOGGED_PARTS,
     first_event_ms,
+    outcome_kind,
     outcome_name,
 )
 from pimentogap.forwarding._outcomes import (
@@ -173,8 +174,9 @@
         took_s = now - request.received_at
         service = admitted.service if admitted else "-"
         workspace = (admitted.workspace if admitted else None) or "-"
-        self._metrics.count(Series("requests", service, workspace, outcome))
-        self._metrics.record_duration(Series("request", service, "-", outcome), took_s)
+        kind = outcome_kind(outcome)
+        self._metrics.count(Series("requests", service, workspace, kind))
+        self._metrics.record_duration(Series("request", service, "-", kind), took_s)
         configuration = self._configuration.current
         log.info(
             "request ended",
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -83,6 +83,7 @@
         "quarantine",
         "permits",
         "admission",
+        "buffers",
     )
     __slots__ = (
         "_pool",
@@ -95,6 +96,7 @@
         "_pauses",
         "_permits",
         "_admission",
+        "_buffers",
         "_responder",
         "_evidence",
         "_budget",
@@ -122,6 +124,7 @@
         self._pauses = None
         self._permits = None
         self._admission = None
+        self._buffers = None
         self._responder = None
         self._evidence = None
         self._budget = RetryBudget(
@@ -146,6 +149,7 @@
         self._pauses = kernel.get("pauses")
         self._permits = kernel.get("permits")
         self._admission = kernel.get("admission")
+        self._buffers = kernel.get("buffers")
         self._responder = Responder(kernel, self._codec)
         self._evidence = AttemptEvidence(kernel, self._pool)
 
@@ -219,7 +223,13 @@
             EventFilter(request.needs.last_event_id) if is_stream(route) else None
         )
         claim = self._admission.claim(request, admitted, deadline)
-        attempts = Attempts(event_filter, claim)
+        attempts = Attempts(event_filter, self._buffers.open(), claim)
+        try:
+            await self._serve_attempts(request, admitted, attempts, deadline)
+        finally:
+            attempts.buffer.release()
+
+    async def _serve_attempts(self, request, admitted, attempts, deadline):
         try:
             outcome = await self._try_backends(request, admitted, attempts, deadline)
         except asyncio.CancelledError:
@@ -362,6 +372,8 @@
             attempts.event_filter,
             partial(self._evidence.record_wishes, backend, load),
             Objectives(admitted.route.first_byte_s, admitted.route.max_gap_s),
+            attempts.buffer,
+            self._buffers.turns,
         )
         expected_s = self._admission.expected_s(attempts.claim, backend)
         load.in_flight += 1
@@ -389,6 +401,8 @@
                 exchange.exception()
         if isinstance(outcome, NotSent | NotRun | Unsendable | Withheld):
             attempts.possible_runs -= 1
+        if not isinstance(outcome, Failure):
+            attempts.buffer.release()
         self._admission.record_end(attempts.claim)
         if receiver.first_event_at is not None:
             waited_s = receiver.first_event_at - began_at
--- a/pimentogap/intake/__init__.py
+++ b/pimentogap/intake/__init__.py
@@ -10,11 +10,12 @@
     ReadingHead,
     Serving,
 )
-from pimentogap.intake._limits import IntakeLimits
+from pimentogap.intake._limits import BASE_BYTES, IntakeLimits
 from pimentogap.intake._pace import ChunkMeter, ChunkTurns
 from pimentogap.intake._service import RETRY_AFTER_S, IntakeService, NoRoom
 
 __all__ = [
+    "BASE_BYTES",
     "RETRY_AFTER_S",
     "Account",
     "Caller",
--- a/pimentogap/intake/_pace.py
+++ b/pimentogap/intake/_pace.py
@@ -1,4 +1,4 @@
-"""Bounds the processor time that chunked bodies take."""
+"""Bounds the processor time that bodies in many small parts take."""
 
 import asyncio
 import heapq
@@ -10,6 +10,8 @@
 FREE_CHUNKS = 64
 CHUNKS_PER_TURN = 32
 TURN_S = 0.005
+# A request needs about ten rounds of the event loop.
+LOADED_ROUND_S = 0.02
 
 
 class ChunkMeter:
@@ -29,11 +31,13 @@
         """Count bytes of the body as they were received."""
         self._bytes += size
 
-    def needs_turn(self):
-        """Count a chunk; return whether it has to wait for the body's next turn."""
-        self._chunks += 1
+    def needs_turn(self, chunks=1):
+        """Count ``chunks``; return whether they have to wait for the next turn."""
+        turns_before = self._chunks // CHUNKS_PER_TURN
+        self._chunks += chunks
         is_costly = self._chunks - self._bytes // BYTES_PER_CHUNK > FREE_CHUNKS
-        needs_turn = is_costly and self._chunks % CHUNKS_PER_TURN == 0
+        is_over = self._chunks // CHUNKS_PER_TURN > turns_before
+        needs_turn = is_costly and is_over
         self.turns += needs_turn
         return needs_turn
 
@@ -41,16 +45,24 @@
 class ChunkTurns:
     """Gives costly bodies their turns with pauses between, those with fewest first."""
 
-    __slots__ = ("_clock", "_order", "_waiting", "_is_busy")
+    __slots__ = ("_clock", "_only_under_load", "_order", "_waiting", "_is_busy")
 
-    def __init__(self, clock):
+    def __init__(self, clock, *, only_under_load=False):
+        """Start with nobody waiting.
+
+        :param only_under_load: whether turns are given only while the event loop takes
+            long to come round; until then, bodies go on at once.
+        """
         self._clock = clock
+        self._only_under_load = only_under_load
         self._order = itertools.count()
         self._waiting = []
         self._is_busy = False
 
     async def wait(self, turns):
         """Return when the next turn begins of a body that has had so many ``turns``."""
+        if self._only_under_load and await self._measure_round_s() < LOADED_ROUND_S:
+            return
         if self._is_busy:
             began = asyncio.get_running_loop().create_future()
             heapq.heappush(self._waiting, (turns, next(self._order), began))
@@ -66,6 +78,12 @@
         finally:
             self._begin_next()
 
+    async def _measure_round_s(self):
+        """Let all others run once, and return how long that took."""
+        began_at = self._clock.time()
+        await self._clock.sleep(0)
+        return self._clock.time() - began_at
+
     def _begin_next(self):
         self._is_busy = False
         while self._waiting and not self._is_busy:
--- a/pimentogap/platform/_engines.py
+++ b/pimentogap/platform/_engines.py
@@ -24,6 +24,8 @@
 REPORT_TIMEOUT_S = 0.25
 OK_STATUS = 200
 UNHEALTHY_STATUS = 503
+# Reports take a few hundred bytes, and hundreds of them may be read at once.
+MAX_ANSWER_BYTES = 64 * 1024
 # What a path holds as it is; blanks, line ends and other scripts are escaped.
 PATH_CHARACTERS = "/%?&=:;,+@!$'()*~#[]"
 
@@ -57,7 +59,11 @@
         request = HttpRequest("POST", "/api/order", headers, json.dumps(body).encode())
         try:
             response = await self._client.fetch(
-                backend.address, request, timeout_s=ORDER_TIMEOUT_S, fresh=True
+                backend.address,
+                request,
+                timeout_s=ORDER_TIMEOUT_S,
+                fresh=True,
+                max_bytes=MAX_ANSWER_BYTES,
             )
         except (ConnectionFailed, ResponseLost) as error:
             return OrderUnanswered(str(error))
@@ -76,15 +82,21 @@
 
         :return: ``None`` if the report describes no usable backend server.
         :raises ConnectionFailed: if the backend server cannot be reached.
-        :raises ResponseLost: if it did not answer with status 200 and JSON.
+        :raises ResponseLost: if it did not answer with status 200 and a JSON object.
         """
         request = HttpRequest("GET", "/api/report", _expecting(backend))
         response = await self._client.fetch(
-            backend.address, request, timeout_s=REPORT_TIMEOUT_S, fresh=True
+            backend.address,
+            request,
+            timeout_s=REPORT_TIMEOUT_S,
+            fresh=True,
+            max_bytes=MAX_ANSWER_BYTES,
         )
         if response.status != OK_STATUS:
             raise ResponseLost(f"{backend.id} answered {response.status}")
         data = response.json()
+        if not isinstance(data, dict):
+            raise ResponseLost(f"the report of {backend.id} is no object")
         data |= {
             "service": backend.service,
             "addr": backend.address,
@@ -103,7 +115,11 @@
         request = HttpRequest("GET", path, _expecting(backend))
         try:
             response = await self._client.fetch(
-                backend.address, request, timeout_s=REPORT_TIMEOUT_S, fresh=True
+                backend.address,
+                request,
+                timeout_s=REPORT_TIMEOUT_S,
+                fresh=True,
+                max_bytes=MAX_ANSWER_BYTES,
             )
         except (ConnectionFailed, ResponseLost):
             return False
--- a/pimentogap/programs/_front.py
+++ b/pimentogap/programs/_front.py
@@ -11,6 +11,7 @@
 
 from pimentogap.admission import AdmissionService
 from pimentogap.alarms import AlarmService
+from pimentogap.buffers import BufferService
 from pimentogap.calls import CallService
 from pimentogap.directory import (
     DaemonsService,
@@ -23,8 +24,8 @@
 from pimentogap.formation import FormationService, LeaseService
 from pimentogap.forwarding import ForwardingService
 from pimentogap.ingress import IngressService
-from pimentogap.intake import IntakeService
-from pimentogap.kernel import Kernel
+from pimentogap.intake import ChunkTurns, IntakeService
+from pimentogap.kernel import Clock, Kernel
 from pimentogap.logs import install_decision_log
 from pimentogap.metrics import LoopHolds, MetricService, measured_event_loop
 from pimentogap.occupancy import OccupancyService
@@ -149,6 +150,7 @@
         PlacementService(scarce_room=settings.scarce_room),
         AdmissionService(settings),
         QuarantineService(settings.id, settings.react_s),
+        BufferService(settings),
         ForwardingService(settings, pool, codec),
         LeaseService(settings.id, settings.inner_address),
         DepartureService(settings.id),
@@ -167,7 +169,7 @@
         settings,
         store_transport=ObjectTransport(HttpClient(), settings.store_address),
         engines=HttpEngines(HttpClient()),
-        pool=BackendPool(),
+        pool=BackendPool(ChunkTurns(Clock(), only_under_load=True)),
         codec=codec,
         # With the store's address as the fleet's key, daemons refuse those of another
         # fleet that used the same addresses before.
--- a/pimentogap/web/_client.py
+++ b/pimentogap/web/_client.py
@@ -25,29 +25,32 @@
 
 
 class BodyBuffer:
-    """Receiver that buffers a response of at most ``MAX_BUFFERED_BODY_BYTES``."""
+    """Receiver that buffers a response whose body is of bounded size."""
 
     __slots__ = (
         "status",
         "headers",
-        "_chunks",
-        "_size",
+        "_body",
+        "_max_bytes",
         "_timeout",
         "_transfer",
         "_transfer_ends_at",
     )
 
-    def __init__(self, timeout=None, transfer=None):
+    def __init__(
+        self, timeout=None, transfer=None, *, max_bytes=MAX_BUFFERED_BODY_BYTES
+    ):
         """Postpone ``timeout`` while the response arrives.
 
         :param timeout: the `asyncio.Timeout` of the exchange.
         :param transfer: the `TransferLimits` of a response that has begun; without
             them, ``timeout`` is left as it is.
+        :param max_bytes: the largest body.
         """
         self.status = 0
         self.headers = None
-        self._chunks = []
-        self._size = 0
+        self._body = bytearray()
+        self._max_bytes = max_bytes
         self._timeout = timeout
         self._transfer = transfer
         self._transfer_ends_at = 0.0
@@ -66,10 +69,9 @@
 
         :raises ResponseLost: if the body exceeds the limit.
         """
-        self._size += len(chunk)
-        if self._size > MAX_BUFFERED_BODY_BYTES:
-            raise ResponseLost("the body of the response is too large")
-        self._chunks.append(chunk)
+        if len(self._body) + len(chunk) > self._max_bytes:
+            raise ResponseLost(f"the response is larger than {self._max_bytes} bytes")
+        self._body += chunk
         if self._transfer is not None:
             self._postpone_timeout(asyncio.get_running_loop().time())
 
@@ -80,12 +82,12 @@
     def timeout_message(self, address, timeout_s):
         """Return what to report about a response that did not arrive in time."""
         if self.status:
-            return f"the response of {address} stalled after {self._size} bytes"
+            return f"the response of {address} stalled after {len(self._body)} bytes"
         return f"no response from {address} in {timeout_s:g} s"
 
     def response(self):
         """Return the `HttpResponse`."""
-        return HttpResponse(self.status, self.headers, b"".join(self._chunks))
+        return HttpResponse(self.status, self.headers, bytes(self._body))
 
 
 class _ResponseDelegate(HTTPMessageDelegate):
@@ -179,20 +181,30 @@
         )
         self.connections_opened = 0
 
-    async def fetch(self, address, request, *, timeout_s, fresh=False, transfer=None):
+    async def fetch(
+        self,
+        address,
+        request,
+        *,
+        timeout_s,
+        fresh=False,
+        transfer=None,
+        max_bytes=MAX_BUFFERED_BODY_BYTES,
+    ):
         """Send ``request`` to ``address`` and return the `HttpResponse`.
 
         :param timeout_s: seconds for the whole exchange, or, with ``transfer``, until
             the response begins.
         :param fresh: open a connection for this request alone.
         :param transfer: the `TransferLimits` of a response that has begun.
+        :param max_bytes: the largest body of a response.
         :raises ConnectionFailed: if nothing of the request was sent.
         :raises ResponseLost: if the response did not arrive completely; a
             `ResponseTimeout` if the time for it has passed.
         """
         try:
             async with asyncio.timeout(timeout_s) as timeout:
-                buffer = BodyBuffer(timeout, transfer)
+                buffer = BodyBuffer(timeout, transfer, max_bytes=max_bytes)
                 await self._exchange_keep_alive(address, request, buffer, fresh=fresh)
         except TimeoutError:
             raise ResponseTimeout(buffer.timeout_message(address, timeout_s))
--- a/pimentogap/web/_connect.py
+++ b/pimentogap/web/_connect.py
@@ -1,5 +1,6 @@
 """Opens TCP connections by IP address, without a name look-up."""
 
+import asyncio
 import socket
 
 from tornado.iostream import IOStream
@@ -11,11 +12,41 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MAX_BUFFER_BYTES = 16 * 2**20
+READ_BYTES = 64 * 1024
 
 
 class ClientStream(IOStream):
     """The stream of a client, which can tell if the server sent more than asked."""
 
+    _meter = None
+    _turns = None
+
+    def pace_chunks(self, meter, turns):
+        """Let a body in costly chunks wait for its turns.
+
+        :param meter: the `ChunkMeter` of the body.
+        :param turns: the `ChunkTurns` of all bodies.
+        """
+        self._meter = meter
+        self._turns = turns
+
+    def read_from_fd(self, buf):
+        """Read as `IOStream` does, and count the bytes of the body."""
+        size = super().read_from_fd(buf)
+        if size and self._meter is not None:
+            self._meter.record_bytes(size)
+        return size
+
+    def read_until(self, delimiter, max_bytes=None):
+        """Read the size of a chunk, once the body may go on."""
+        if self._meter is None or not self._meter.needs_turn():
+            return super().read_until(delimiter, max_bytes)
+        return asyncio.ensure_future(self._read_in_turn(delimiter, max_bytes))
+
+    async def _read_in_turn(self, delimiter, max_bytes):
+        await self._turns.wait(self._meter.turns)
+        return await super().read_until(delimiter, max_bytes)
+
     def is_quiet(self):
         """Return whether the server neither closed nor sent anything unread."""
         return not self.closed() and not self._read_buffer_size and self._peek() is None
@@ -36,9 +67,12 @@
             return b""
 
 
-async def connect(address):
+async def connect(address, *, read_bytes=READ_BYTES, unread_bytes=None):
     """Return a `ClientStream` that is connected to ``address``, ``HOST:PORT``.
 
+    :param read_bytes: how much is read at once.
+    :param unread_bytes: how much the kernel keeps that is not read yet; its own choice
+        by default.
     :raises OSError: if no socket can be opened.
     :raises StreamClosedError: if the address refuses the connection or cannot be
         reached.
@@ -51,7 +85,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     _enable_keepalive(sock)
-    stream = ClientStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
+    if unread_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes)
+    stream = ClientStream(
+        sock, max_buffer_size=MAX_BUFFER_BYTES, read_chunk_size=read_bytes
+    )
     try:
         await stream.connect((host, int(port)))
     except (OverflowError, ValueError) as error:
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -21,6 +21,7 @@
     ReusedConnectionClosed,
     SendWithheld,
 )
+from pimentogap.intake import ChunkMeter
 from pimentogap.types import decimal_or_none
 from pimentogap.web._connect import connect
 from pimentogap.web._statuses import is_interim
@@ -29,6 +30,9 @@
 
 MAX_HEADER_BYTES = 65536
 MAX_BODY_BYTES = 2**40
+# What a connection holds of an answer that arrives faster than it is passed on.
+READ_BYTES = 16 * 1024
+UNREAD_BYTES = 64 * 1024
 # A body of up to this size is written together with its head.
 MAX_JOINED_BYTES = 16 * 1024
 MAX_IDLE_PER_BACKEND = 24
@@ -153,12 +157,20 @@
     it belongs to, and is closed once more has arrived on it than was asked for.
     """
 
-    __slots__ = ("_idle_by_address", "_parameters", "connections_opened")
+    __slots__ = ("_idle_by_address", "_parameters", "_turns", "connections_opened")
 
-    def __init__(self):
+    def __init__(self, turns=None):
+        """Start without connections.
+
+        :param turns: the `ChunkTurns` of answers in small chunks; without it, nothing
+            bounds the time that they take.
+        """
         self._idle_by_address = {}
+        self._turns = turns
         self._parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            chunk_size=READ_BYTES,
         )
         self.connections_opened = 0
 
@@ -202,6 +214,8 @@
         if not may_send():
             stream.close()
             raise SendWithheld(f"{address} no longer takes requests")
+        if self._turns is not None:
+            stream.pace_chunks(ChunkMeter(), self._turns)
         connection.attempt_ids.add(attempt_id)
         idle_limit_s = 0.0
         try:
@@ -267,7 +281,9 @@
     async def _open(self, address, connect_s):
         try:
             async with asyncio.timeout(connect_s):
-                stream = await connect(address)
+                stream = await connect(
+                    address, read_bytes=READ_BYTES, unread_bytes=UNREAD_BYTES
+                )
         except (OSError, TimeoutError, StreamClosedError) as error:
             raise ConnectionFailed(f"no connection to {address}: {error!r}")
         self.connections_opened += 1
--- a/standins/emulator/_network.py
+++ b/standins/emulator/_network.py
@@ -18,6 +18,7 @@
 from standins._wire import read_fields
 
 CONNECT_DELAY_S = 0.002
+MAX_BODY_BYTES = 4 * 2**20
 
 
 class EmulatedNetwork:
@@ -52,7 +53,16 @@
         self._network = network
         self._source = source
 
-    async def fetch(self, address, request, *, timeout_s, fresh=False, transfer=None):
+    async def fetch(
+        self,
+        address,
+        request,
+        *,
+        timeout_s,
+        fresh=False,
+        transfer=None,
+        max_bytes=MAX_BODY_BYTES,
+    ):
         """Send ``request`` and return the complete response, on any connection.
 
         :raises ConnectionFailed: if nothing listens on ``address``.
@@ -62,7 +72,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s) as timeout:
-                buffer = BodyBuffer(timeout, transfer)
+                buffer = BodyBuffer(timeout, transfer, max_bytes=max_bytes)
                 await self._deliver(address, request, _BufferReceiver(buffer))
         except TimeoutError:
             raise ResponseTimeout(buffer.timeout_message(address, timeout_s))
