--- a/features/platform/names.feature
+++ b/features/platform/names.feature
@@ -99,3 +99,7 @@
       | key   |
       | model |
       | host  |
+
+  # Guards against: a model is named by what stands before the first dot (CONFIG).
+  Scenario: The group of a model is known by the model's name, whatever characters it has
+    Then the model of a group is that for which it was formed, for any name
--- a/features/steps/name_steps.py
+++ b/features/steps/name_steps.py
@@ -8,6 +8,7 @@
 
 from features.steps.connection_steps import AnswerReceiver
 from features.steps.platform_steps import start_request
+from pimentogap.directory import GroupView, group_name, model_of
 from pimentogap.metrics import MetricService, Series
 from pimentogap.platform import HttpEngines, PlatformHeaders, decode_backend
 from pimentogap.platform._text import decode_field
@@ -225,3 +226,14 @@
         assert read[-1] == workspace.strip(" \t"), read
 
     check()
+
+
+@then("the model of a group is that for which it was formed, for any name")
+def then_model(context):
+    @settings(max_examples=EXAMPLES, derandomize=True, database=None)
+    @given_any(st.text(), st.integers(min_value=1))
+    def check(model, epoch):
+        name = group_name(model, epoch)
+        assert model_of(name) == model == GroupView(name, epoch).model, name
+
+    check()
--- a/pimentogap/directory/__init__.py
+++ b/pimentogap/directory/__init__.py
@@ -4,15 +4,14 @@
 from pimentogap.directory._daemons import DaemonsService
 from pimentogap.directory._departures import DepartureService
 from pimentogap.directory._groups import (
-    MODEL_SEPARATOR,
     GroupView,
     build_group_views,
     group_name,
+    model_of,
 )
 from pimentogap.directory._service import DirectoryService
 
 __all__ = [
-    "MODEL_SEPARATOR",
     "DaemonsService",
     "DepartureService",
     "DirectoryService",
@@ -20,4 +19,5 @@
     "ServingConfigurationService",
     "build_group_views",
     "group_name",
+    "model_of",
 ]
--- a/pimentogap/directory/_groups.py
+++ b/pimentogap/directory/_groups.py
@@ -24,7 +24,7 @@
     @property
     def model(self):
         """Return the name of the model that the group was formed for."""
-        return self.name.partition(MODEL_SEPARATOR)[0]
+        return model_of(self.name)
 
     def is_complete(self, size):
         """Return whether all ``size`` members are listed and none is leaving."""
@@ -50,6 +50,12 @@
     return f"{model}{MODEL_SEPARATOR}{epoch}"
 
 
+def model_of(name):
+    """Return the model for which the group called ``name`` was formed."""
+    model, separator, _ = name.rpartition(MODEL_SEPARATOR)
+    return model if separator else name
+
+
 def build_group_views(backends):
     """Return the `GroupView` of each group of ``backends``, by its name and epoch."""
     groups_by_key = {}
--- a/pimentogap/formation/_service.py
+++ b/pimentogap/formation/_service.py
@@ -4,7 +4,7 @@
 
 from logbook import Logger
 
-from pimentogap.directory import MODEL_SEPARATOR, build_group_views, group_name
+from pimentogap.directory import build_group_views, group_name, model_of
 from pimentogap.formation._absences import AbsenceProber
 from pimentogap.formation._confirmations import Confirmations
 from pimentogap.formation._demand import DemandMeter
@@ -247,7 +247,7 @@
         for backend in backends:
             membership = backend.membership
             if membership is not None and membership.state in LOADED_STATES:
-                model = membership.group.partition(MODEL_SEPARATOR)[0]
+                model = model_of(membership.group)
                 self._loads.weights.record_served(backend, model)
 
     def _reconcile_group(self, service, key, group, specs):
