--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -32,11 +32,13 @@
     Then the request is passed on as one that resumes after <known>
 
     Examples:
-      | id           | known   |
-      | 12           | 12      |
-      | ²            | nothing |
-      | 1,900 digits | nothing |
-      | 4,400 digits | nothing |
+      | id           | known  |
+      | 12           | itself |
+      | 007          | itself |
+      | ²            | itself |
+      | page-7/a     | itself |
+      | 1,900 digits | itself |
+      | 4,400 digits | itself |
 
   # Guards against: bytes above 127 in a path reached the backend server encoded twice.
   Scenario: A path with bytes above 127 reaches the backend server as it came
--- a/features/steps/turn_steps.py
+++ b/features/steps/turn_steps.py
@@ -138,7 +138,7 @@
 
 @when("an attempt is made there, for {seconds:g} second at most")
 def when_attempted(context, seconds):
-    event_filter = None if context.is_plain else EventFilter(DELIVERED_ID)
+    event_filter = None if context.is_plain else EventFilter(str(DELIVERED_ID))
 
     async def attempt():
         pool = BackendPool()
--- a/pimentogap/forwarding/_events.py
+++ b/pimentogap/forwarding/_events.py
@@ -1,9 +1,10 @@
 """Extracts the new complete events from the bytes of an event stream."""
 
+import re
 from dataclasses import dataclass
 
 from pimentogap.errors import ResponseLost
-from pimentogap.types import decimal_or_none
+from pimentogap.types import exact_decimal_or_none
 
 MAX_EVENT_BYTES = 2**20
 # Between two events that the caller wants. A server that starts its stream anew sends
@@ -13,6 +14,12 @@
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
 COMMENT = b":"
+LINE_END = re.compile(rb"\r\n|\n|\r")
+# An empty line and the end of the line before it. The last byte of CR LF may be on its
+# way still, which it is not where lines end with CR alone.
+EVENT_END = re.compile(rb"(?>\r\n|\n)(?>\r\n|\n|\r(?!\Z))|\r\r")
+# Its longest form but for the last byte.
+MAX_SPLIT_BYTES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,14 +40,21 @@
 class EventFilter:
     """Drops events that were delivered before, and buffers an incomplete one.
 
-    ``last_id`` is the id of the last delivered event. What has no numeric id is always
-    delivered, but comments before the first event only with it. A comment and an event
-    without data or new id are no events that the caller wants, and only so many may
-    come between two that are.
+    ``last_id`` is the id of the last delivered event, as text. What has no number for
+    an id is always delivered, but comments before the first event only with it; since
+    a server that starts anew sends it again, ``can_resume`` is false from then on. A
+    comment and an event without data or new id are no events that the caller wants,
+    and only so many may come between two that are.
+
+    Ids grow by one, unless two attempts agree on a larger step.
     """
 
     __slots__ = (
         "last_id",
+        "can_resume",
+        "_last_number",
+        "_gap",
+        "_has_uneven_ids",
         "_buffer",
         "_held",
         "_has_begun",
@@ -49,7 +63,12 @@
     )
 
     def __init__(self, last_id=None):
+        """Begin after the event ``last_id``, which the caller has."""
         self.last_id = last_id
+        self.can_resume = True
+        self._last_number = exact_decimal_or_none((last_id or "").strip())
+        self._gap = None
+        self._has_uneven_ids = False
         self._buffer = bytearray()
         self._held = b""
         self._has_begun = False
@@ -84,17 +103,17 @@
         :raises ResponseLost: if an event is too large, the ids have a gap, or too much
             comes without an event.
         """
-        searched = max(0, len(self._buffer) - 1)
+        searched = max(0, len(self._buffer) - MAX_SPLIT_BYTES)
         self._buffer += chunk
-        end = self._buffer.rfind(b"\n\n", searched)
-        if end < 0:
+        spans = [match.span() for match in EVENT_END.finditer(self._buffer, searched)]
+        if not spans:
             if len(self._buffer) > MAX_EVENT_BYTES:
                 raise ResponseLost("an event is too large")
             return NOTHING_NEW
-        end += 2
+        end = spans[-1][1]
         data = bytes(self._buffer[:end])
         del self._buffer[:end]
-        new = self._drop_delivered(data)
+        new = self._drop_delivered(data, spans)
         if not new.count and not self._has_begun:
             self._held += new.data
             return NewEvents(b"", 0, new.blocks)
@@ -106,38 +125,47 @@
         held, self._held = self._held, b""
         return held
 
-    def _drop_delivered(self, data):
-        blocks = []
+    def _drop_delivered(self, data, spans):
+        """Return the `NewEvents` of ``data``, whose blocks end at ``spans``."""
+        kept = []
         count = 0
-        found = data[:-2].split(b"\n\n")
-        for block in found:
-            if not block:
-                self._record_idle(block)
+        begin = 0
+        for block_end, end in spans:
+            block, with_end = data[begin:block_end], data[begin:end]
+            begin = end
+            id_ = _event_id(block)
+            number = exact_decimal_or_none(id_) if id_ is not None else None
+            was_delivered = number is not None and self._was_delivered(number)
+            if not block or was_delivered:
+                self._record_idle(with_end)
                 continue
-            number = _event_id(block)
-            if number is not None and self._was_delivered(number):
-                self._record_idle(block)
+            kept.append(with_end)
+            if id_ is None and not _has_data(block):
+                self._record_idle(with_end)
                 continue
-            blocks.append(block)
-            if number is not None or _has_data(block):
-                count += 1
-                self._idle_bytes = self._idle_blocks = 0
-            else:
-                self._record_idle(block)
-        data = b"".join(block + b"\n\n" for block in blocks)
-        return NewEvents(data, count, len(found))
+            count += 1
+            self._idle_bytes = self._idle_blocks = 0
+            self.can_resume = self.can_resume and number is not None
+            if id_ is not None:
+                # Such that a library that writes Latin-1 sends it as it came.
+                self.last_id = id_.decode("latin-1")
+        return NewEvents(b"".join(kept), count, len(spans))
 
     def _was_delivered(self, number):
         """Return whether event ``number`` was delivered; else record that it is."""
-        if self.last_id is not None and number <= self.last_id:
+        last = self._last_number
+        if last is not None and number <= last:
             return True
-        if self.last_id is not None and number > self.last_id + 1:
-            raise ResponseLost(f"event {self.last_id + 1} is missing")
-        self.last_id = number
+        if last is not None and number > last + 1 and not self._has_uneven_ids:
+            if self._gap != (last, number):
+                self._gap = last, number
+                raise ResponseLost(f"event {last + 1} is missing")
+            self._has_uneven_ids = True
+        self._last_number = number
         return False
 
     def _record_idle(self, block):
-        self._idle_bytes += len(block) + 2
+        self._idle_bytes += len(block)
         self._idle_blocks += 1
         if (
             self._idle_bytes > MAX_BYTES_WITHOUT_EVENT
@@ -147,14 +175,17 @@
 
 
 def _event_id(block):
-    for line in block.split(b"\n"):
+    """Return the id of an event as it stands there, ``None`` if it has none."""
+    if ID_FIELD not in block:
+        return None
+    for line in LINE_END.split(block):
         if line.startswith(ID_FIELD):
-            return decimal_or_none(line[len(ID_FIELD) :].strip())
+            return line[len(ID_FIELD) :].strip()
     return None
 
 
 def _has_data(block):
     return any(
         line.startswith(DATA_FIELD) and line[len(DATA_FIELD) :].strip()
-        for line in block.split(b"\n")
+        for line in LINE_END.split(block)
     )
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -353,7 +353,9 @@
 
     def _can_run_again(self, request, route, attempts):
         # Only a stream can go on where another server's answer broke off.
-        can_go_on = is_stream(route) or not request.response.begun
+        can_go_on = not request.response.begun or (
+            is_stream(route) and attempts.event_filter.can_resume
+        )
         return (
             route.repeatable
             and can_go_on
--- a/pimentogap/platform/_headers.py
+++ b/pimentogap/platform/_headers.py
@@ -83,7 +83,7 @@
             else max(0.0, deadline_ms) / MS_PER_S,
             key=_bearer_token(decode_field(headers.get(AUTHORIZATION, ""))),
             model=decode_field(headers.get(MODEL, "")),
-            last_event_id=decimal_or_none(headers.get(LAST_EVENT, "").strip()),
+            last_event_id=headers.get(LAST_EVENT) or None,
             shared_parts=_shared_parts(headers.get(PROMPT_PARTS)),
             prompt_tokens=prompt_tokens,
             max_answer_tokens=max_answer_tokens,
@@ -137,7 +137,7 @@
         if workspace is not None:
             pairs.append((WORKSPACE, encode_field(workspace)))
         if last_event_id is not None:
-            pairs.append((LAST_EVENT, str(last_event_id)))
+            pairs.append((LAST_EVENT, last_event_id))
         if urgency is not None:
             pairs.append((URGENCY, str(urgency)))
         return pairs
--- a/pimentogap/types/_serving.py
+++ b/pimentogap/types/_serving.py
@@ -216,7 +216,7 @@
     """What a request's headers state.
 
     ``key`` is the caller's key. ``deadline_s`` is the time left for the request,
-    and ``last_event_id`` the last event that the caller has of a stream.
+    and ``last_event_id`` the last event that the caller has of a stream, as text.
     ``shared_parts`` are the ids of the parts of its prompt that other requests may
     have as well, in order. ``prompt_tokens`` and ``max_answer_tokens`` are 0 if the
     request does not state them.
@@ -226,7 +226,7 @@
     deadline_s: float | None = None
     key: str | None = None
     model: str = ""
-    last_event_id: int | None = None
+    last_event_id: str | None = None
     shared_parts: tuple = ()
     prompt_tokens: int = 0
     max_answer_tokens: int = 0
