Answer HEAD without a body

Cause: an answer of the daemon's own to HEAD had a body; the library refused it, and the connection closed. Change: the bodies of answers to HEAD are dropped. Result: ingress.feature, HEAD twice on one connection: both answered.

--- a/features/platform/ingress.feature
+++ b/features/platform/ingress.feature
@@ -40,6 +40,12 @@
       | 1,900 digits | itself |
       | 4,400 digits | itself |
 
+  # Guards against: an answer to HEAD ends in an error, and its connection closes.
+  Scenario: Answers to HEAD have no body, and their connection stays open
+    Given a front end with small limits
+    When HEAD comes in twice on one connection
+    Then each is answered with 200, a length of 2 and no body
+
   # Guards against: bytes above 127 in a path reached the backend server encoded twice.
   Scenario: A path with bytes above 127 reaches the backend server as it came
     Given a front end with small limits
--- a/features/steps/ingress_steps.py
+++ b/features/steps/ingress_steps.py
@@ -239,6 +239,29 @@
     assert getattr(holder, field) == text, getattr(holder, field)
 
 
+@when("HEAD comes in twice on one connection")
+def when_head_sent(context):
+    async def exchange():
+        await context.front_end.start()
+        reader, writer = await context.front_end.connect()
+        context.heads = []
+        async with asyncio.timeout(5):
+            for _ in range(2):
+                writer.write(b"HEAD /x HTTP/1.1\r\nHost: x\r\n\r\n")
+                context.heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.close()
+        context.rest = await reader.read()
+
+    asyncio.run(exchange())
+
+
+@then("each is answered with 200, a length of 2 and no body")
+def then_heads(context):
+    for head in context.heads:
+        assert head.startswith(b"HTTP/1.1 200 ") and b"Content-Length: 2" in head, head
+    assert context.rest == b"", context.rest
+
+
 @when("a caller disconnects before it gets an answer")
 def when_caller_disconnects(context):
     async def exchange():
--- a/pimentogap/ingress/_exchange.py
+++ b/pimentogap/ingress/_exchange.py
@@ -46,6 +46,7 @@
     __slots__ = (
         "begun",
         "ended",
+        "has_body",
         "_connection",
         "stream",
         "_closes_connection",
@@ -60,6 +61,7 @@
         """
         self.begun = False
         self.ended = False
+        self.has_body = True
         self._connection = connection
         self.stream = stream
         self._closes_connection = closes_connection
@@ -82,7 +84,7 @@
 
     def send(self, chunk):
         """Write ``chunk`` without waiting until it is written to the socket."""
-        if chunk:
+        if chunk and self.has_body:
             _ignore_error(self._connection.write(chunk))
 
     async def write(self, chunk):
@@ -90,6 +92,8 @@
 
         :raises CallerLeft: if the caller has closed the connection.
         """
+        if not self.has_body:
+            return
         try:
             await self._connection.write(chunk)
         except StreamClosedError:
@@ -142,6 +146,7 @@
         """Check the request line and headers against the current limits."""
         self._service.add_exchange(self)
         self._start_line = start_line
+        self._response.has_body = start_line.method != "HEAD"
         self._headers = headers
         limits = self._service.limits()
         # tornado takes a length that is repeated, and refuses different ones.
