Deliver the events that come before a gap in the same bytes

Cause: a gap in the ids, or too much without an event, raised an error in the middle of what had arrived. The events before it were counted as delivered and dropped; the stream was resumed after them, with a piece missing (ORDER). Found by reading; no caller has reported it. Change: the filter returns what comes before, and says why the stream is lost.

--- a/features/platform/event_streams.feature
+++ b/features/platform/event_streams.feature
@@ -31,6 +31,11 @@
   Scenario: Steps of more than one are taken for a gap until a second server confirms them
     Then ids 1, 2, 5, 9 and 30 are lost at 5, and pass when the next server goes on at 5
 
+  # Guards against: events that came in the same bytes before a gap are dropped, and the
+  # stream is resumed after them (ORDER).
+  Scenario: What comes before a gap is delivered
+    Then events 1, 2 and 5 in one part are lost after 2, and 3 to 5 follow from the next
+
   # Guards against: the id that a caller resumes after is taken off its request.
   Scenario: Any id that a caller resumes after is passed on as it came
     Then any id that a header field can hold is passed on as it came
--- a/pimentogap/forwarding/_events.py
+++ b/pimentogap/forwarding/_events.py
@@ -1,9 +1,8 @@
 """Extracts the new complete events from the bytes of an event stream."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from pimentogap.errors import ResponseLost
 from pimentogap.types import exact_decimal_or_none
 
 MAX_EVENT_BYTES = 2**20
@@ -27,11 +26,13 @@
     """The bytes to pass on, and how many events they have that the caller wants.
 
     ``blocks`` is how many blocks were read for that, those that are dropped included.
+    ``lost`` says why the stream cannot go on after them, if it cannot.
     """
 
     data: bytes
     count: int
     blocks: int = 0
+    lost: str | None = None
 
 
 NOTHING_NEW = NewEvents(b"", 0)
@@ -100,15 +101,15 @@
     def feed(self, chunk):
         """Return the `NewEvents` that ``chunk`` completes.
 
-        :raises ResponseLost: if an event is too large, the ids have a gap, or too much
-            comes without an event.
+        The stream is lost if an event is too large, the ids have a gap, or too much
+        comes without an event.
         """
         searched = max(0, len(self._buffer) - MAX_SPLIT_BYTES)
         self._buffer += chunk
         spans = [match.span() for match in EVENT_END.finditer(self._buffer, searched)]
         if not spans:
             if len(self._buffer) > MAX_EVENT_BYTES:
-                raise ResponseLost("an event is too large")
+                return NewEvents(b"", 0, lost="an event is too large")
             return NOTHING_NEW
         end = spans[-1][1]
         data = bytes(self._buffer[:end])
@@ -116,9 +117,9 @@
         new = self._drop_delivered(data, spans)
         if not new.count and not self._has_begun:
             self._held += new.data
-            return NewEvents(b"", 0, new.blocks)
+            return replace(new, data=b"")
         self._has_begun = True
-        return NewEvents(self.take_held() + new.data, new.count, new.blocks)
+        return replace(new, data=self.take_held() + new.data)
 
     def take_held(self):
         """Return what came before the first event, to be passed on now."""
@@ -130,18 +131,21 @@
         kept = []
         count = 0
         begin = 0
+        lost = None
         for block_end, end in spans:
             block, with_end = data[begin:block_end], data[begin:end]
             begin = end
             id_ = _event_id(block)
             number = exact_decimal_or_none(id_) if id_ is not None else None
-            was_delivered = number is not None and self._was_delivered(number)
-            if not block or was_delivered:
-                self._record_idle(with_end)
-                continue
-            kept.append(with_end)
-            if id_ is None and not _has_data(block):
-                self._record_idle(with_end)
+            if number is not None and (lost := self._find_gap(number)):
+                break
+            is_event = id_ is not None or _has_data(block)
+            is_new = number is None or self._record_number(number)
+            if block and is_new:
+                kept.append(with_end)
+            if not is_event or not is_new:
+                if lost := self._record_idle(with_end):
+                    break
                 continue
             count += 1
             self._idle_bytes = self._idle_blocks = 0
@@ -149,29 +153,36 @@
             if id_ is not None:
                 # Such that a library that writes Latin-1 sends it as it came.
                 self.last_id = id_.decode("latin-1")
-        return NewEvents(b"".join(kept), count, len(spans))
+        return NewEvents(b"".join(kept), count, len(spans), lost)
 
-    def _was_delivered(self, number):
-        """Return whether event ``number`` was delivered; else record that it is."""
+    def _find_gap(self, number):
+        """Return what is missing before event ``number``, ``None`` if nothing is."""
         last = self._last_number
-        if last is not None and number <= last:
-            return True
-        if last is not None and number > last + 1 and not self._has_uneven_ids:
-            if self._gap != (last, number):
-                self._gap = last, number
-                raise ResponseLost(f"event {last + 1} is missing")
+        if last is None or number <= last + 1 or self._has_uneven_ids:
+            return None
+        if self._gap == (last, number):
             self._has_uneven_ids = True
+            return None
+        self._gap = last, number
+        return f"event {last + 1} is missing"
+
+    def _record_number(self, number):
+        """Record the number of an event; return whether it is a new one."""
+        if self._last_number is not None and number <= self._last_number:
+            return False
         self._last_number = number
-        return False
+        return True
 
     def _record_idle(self, block):
+        """Count a block without a new event; return why the stream is lost, if it is."""
         self._idle_bytes += len(block)
         self._idle_blocks += 1
         if (
             self._idle_bytes > MAX_BYTES_WITHOUT_EVENT
             or self._idle_blocks > MAX_BLOCKS_WITHOUT_EVENT
         ):
-            raise ResponseLost(f"{self._idle_bytes} bytes came without a new event")
+            return f"{self._idle_bytes} bytes came without a new event"
+        return None
 
 
 def _event_id(block):
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -218,6 +218,8 @@
                 self._record_partial_event()
             if new.data:
                 await self._write(new.data)
+            if new.lost:
+                raise ResponseLost(new.lost)
             if self._meter.needs_turn(new.blocks):
                 await self._turns.wait(self._meter.turns)
 
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -290,6 +290,8 @@
             if isinstance(latest, Withheld):
                 self._permits.give_back(backend)
                 continue
+            if isinstance(latest, Unsendable):
+                self._permits.give_back(backend)
             outcome = latest
             attempts.outcomes.append((backend.id, outcome))
             attempts.excluded_ids.add(backend.id)
