--- a/pimentogap/forwarding/_events.py
+++ b/pimentogap/forwarding/_events.py
@@ -174,7 +174,7 @@
         return True
 
     def _record_idle(self, block):
-        """Count a block without a new event; return why the stream is lost, if it is."""
+        """Count a block without a new event; return why the stream is lost, if so."""
         self._idle_bytes += len(block)
         self._idle_blocks += 1
         if (
