--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -113,6 +113,21 @@
     return total
 
 
+async def wait_until(serves, daemon):
+    """Return whether ``await serves()`` is true before a start takes too long."""
+    ends_at = time.monotonic() + START_TIMEOUT_S
+    while not await serves():
+        if time.monotonic() > ends_at or not daemon.is_running:
+            return False
+        await asyncio.sleep(SAMPLE_S)
+    return True
+
+
+def last_log(folder, daemon):
+    """Return the end of what ``daemon`` has logged."""
+    return (folder / f"{daemon.name}.log").read_text()[-MAX_SHOWN_CHARS:]
+
+
 class CrowdedDaemon:
     """A front daemon as a process, a store and a plain replica on sockets."""
 
@@ -174,12 +189,14 @@
     async def __aenter__(self):
         self.daemon.start()
         self.pid = self.daemon.pid
-        ends_at = time.monotonic() + START_TIMEOUT_S
-        while await ask(self.daemon.caller_address, limit_s=ANSWER_TIMEOUT_S) != 200:
-            if time.monotonic() > ends_at or not self.daemon.is_running:
-                await self.__aexit__()
-                raise AssertionError(f"the daemon did not start: {self._last_log()}")
-            await asyncio.sleep(SAMPLE_S)
+
+        async def serves():
+            address = self.daemon.caller_address
+            return await ask(address, limit_s=ANSWER_TIMEOUT_S) == 200
+
+        if not await wait_until(serves, self.daemon):
+            await self.__aexit__()
+            raise AssertionError(f"no start: {last_log(self._folder, self.daemon)}")
         self._sampling = asyncio.ensure_future(self._sample())
         return self
 
@@ -190,9 +207,6 @@
         for server in self._servers:
             await server.close()
 
-    def _last_log(self):
-        return (self._folder / "front-1.log").read_text()[-MAX_SHOWN_CHARS:]
-
     async def _sample(self):
         while True:
             self.usage.sample(self.pid, self.daemon.caller_address[1])
--- a/features/steps/flood_steps.py
+++ b/features/steps/flood_steps.py
@@ -4,13 +4,18 @@
 import contextlib
 import os
 import tempfile
-import time
 from pathlib import Path
 
 import logbook
 from behave import given, then, when
 
-from features.steps.crowd_steps import MIB, SAMPLE_S, START_TIMEOUT_S, resident_bytes
+from features.steps.crowd_steps import (
+    MIB,
+    SAMPLE_S,
+    last_log,
+    resident_bytes,
+    wait_until,
+)
 from soak._daemons import DaemonProcess
 from standins._network import SocketServer
 from standins.emulator import (
@@ -81,13 +86,13 @@
     async def __aenter__(self):
         self.daemon.start()
         self.pid = self.daemon.pid
-        ends_at = time.monotonic() + START_TIMEOUT_S
-        while (await self.ask("/calm/x"))[0] != 200:
-            if time.monotonic() > ends_at or not self.daemon.is_running:
-                await self.__aexit__()
-                log = (self._folder / "front-1.log").read_text()[-1000:]
-                raise AssertionError(f"the daemon did not start: {log}")
-            await asyncio.sleep(SAMPLE_S)
+
+        async def serves():
+            return (await self.ask("/calm/x"))[0] == 200
+
+        if not await wait_until(serves, self.daemon):
+            await self.__aexit__()
+            raise AssertionError(f"no start: {last_log(self._folder, self.daemon)}")
         self._task = asyncio.ensure_future(self._sample())
         return self
 
