--- a/pimentogap/forwarding/_events.py
+++ b/pimentogap/forwarding/_events.py
@@ -1,7 +1,7 @@
 """Extracts the new complete events from the bytes of an event stream."""
 
 import re
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pimentogap.types import exact_decimal_or_none
 
@@ -13,6 +13,8 @@
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
 COMMENT = b":"
+CR = b"\r"
+EMPTY_LINE = b"\n\n"
 LINE_END = re.compile(rb"\r\n|\n|\r")
 # An empty line and the end of the line before it. The last byte of CR LF may be on its
 # way still, which it is not where lines end with CR alone.
@@ -106,7 +108,7 @@
         """
         searched = max(0, len(self._buffer) - MAX_SPLIT_BYTES)
         self._buffer += chunk
-        spans = [match.span() for match in EVENT_END.finditer(self._buffer, searched)]
+        spans = _find_ends(self._buffer, searched)
         if not spans:
             if len(self._buffer) > MAX_EVENT_BYTES:
                 return NewEvents(b"", 0, lost="an event is too large")
@@ -114,12 +116,12 @@
         end = spans[-1][1]
         data = bytes(self._buffer[:end])
         del self._buffer[:end]
-        new = self._drop_delivered(data, spans)
-        if not new.count and not self._has_begun:
-            self._held += new.data
-            return replace(new, data=b"")
-        self._has_begun = True
-        return replace(new, data=self.take_held() + new.data)
+        kept, count, lost = self._drop_delivered(data, spans)
+        if count or self._has_begun:
+            self._has_begun = True
+            return NewEvents(self.take_held() + kept, count, len(spans), lost)
+        self._held += kept
+        return NewEvents(b"", 0, len(spans), lost)
 
     def take_held(self):
         """Return what came before the first event, to be passed on now."""
@@ -127,7 +129,11 @@
         return held
 
     def _drop_delivered(self, data, spans):
-        """Return the `NewEvents` of ``data``, whose blocks end at ``spans``."""
+        """Read ``data``, whose blocks end at ``spans``.
+
+        :return: the bytes to pass on, the number of events in them, and why the stream
+            is lost after them, if it is.
+        """
         kept = []
         count = 0
         begin = 0
@@ -135,11 +141,12 @@
         for block_end, end in spans:
             block, with_end = data[begin:block_end], data[begin:end]
             begin = end
-            id_ = _event_id(block)
+            lines = _split_lines(block)
+            id_ = _event_id(lines)
             number = exact_decimal_or_none(id_) if id_ is not None else None
             if number is not None and (lost := self._find_gap(number)):
                 break
-            is_event = id_ is not None or _has_data(block)
+            is_event = id_ is not None or _has_data(lines)
             is_new = number is None or self._record_number(number)
             if block and is_new:
                 kept.append(with_end)
@@ -153,7 +160,7 @@
             if id_ is not None:
                 # Such that a library that writes Latin-1 sends it as it came.
                 self.last_id = id_.decode("latin-1")
-        return NewEvents(b"".join(kept), count, len(spans), lost)
+        return b"".join(kept), count, lost
 
     def _find_gap(self, number):
         """Return what is missing before event ``number``, ``None`` if nothing is."""
@@ -185,18 +192,31 @@
         return None
 
 
-def _event_id(block):
+def _find_ends(buffer, begin):
+    """Return the spans of the ends of events in ``buffer`` from ``begin`` on."""
+    if CR in buffer:
+        return [match.span() for match in EVENT_END.finditer(buffer, begin)]
+    spans = []
+    while (at := buffer.find(EMPTY_LINE, begin)) >= 0:
+        begin = at + len(EMPTY_LINE)
+        spans.append((at, begin))
+    return spans
+
+
+def _split_lines(block):
+    return LINE_END.split(block) if CR in block else block.split(b"\n")
+
+
+def _event_id(lines):
     """Return the id of an event as it stands there, ``None`` if it has none."""
-    if ID_FIELD not in block:
-        return None
-    for line in LINE_END.split(block):
+    for line in lines:
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip()
     return None
 
 
-def _has_data(block):
+def _has_data(lines):
     return any(
         line.startswith(DATA_FIELD) and line[len(DATA_FIELD) :].strip()
-        for line in LINE_END.split(block)
+        for line in lines
     )
--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -210,7 +210,9 @@
             part = chunk[start : start + BYTES_PER_TURN]
             new = self._event_filter.feed(part)
             self._meter.record_bytes(len(part))
-            if not self._buffer.resize(self._event_filter.buffered_bytes):
+            buffered_bytes = self._event_filter.buffered_bytes
+            has_changed = buffered_bytes != self._buffer.held_bytes
+            if has_changed and not self._buffer.resize(buffered_bytes):
                 raise ResponseLost("there is no room for an incomplete event")
             if new.count:
                 self._record_event()
--- a/pimentogap/intake/_pace.py
+++ b/pimentogap/intake/_pace.py
@@ -33,11 +33,11 @@
 
     def needs_turn(self, chunks=1):
         """Count ``chunks``; return whether they have to wait for the next turn."""
-        turns_before = self._chunks // CHUNKS_PER_TURN
+        before = self._chunks
         self._chunks += chunks
-        is_costly = self._chunks - self._bytes // BYTES_PER_CHUNK > FREE_CHUNKS
-        is_over = self._chunks // CHUNKS_PER_TURN > turns_before
-        needs_turn = is_costly and is_over
+        if self._chunks - self._bytes // BYTES_PER_CHUNK <= FREE_CHUNKS:
+            return False
+        needs_turn = self._chunks // CHUNKS_PER_TURN > before // CHUNKS_PER_TURN
         self.turns += needs_turn
         return needs_turn
 
