--- a/features/platform/names.feature
+++ b/features/platform/names.feature
@@ -88,6 +88,14 @@
   Scenario: Text is the same after it has crossed a connection as a header field
     Then any text that a header field can hold is read as it was sent
 
+  # Guards against: a head that no page describes ends a request or an attempt with an error.
+  Scenario: No value of any header field ends its decoding
+    Then any head of a request is decoded, and sent on or known not to be sendable
+    And any head of an answer is decoded, with numbers that are finite
+
+  Scenario: Any text in a configuration is decoded as it stands
+    Then names, hosts, prefixes and keys of any text are those of the decoded configuration
+
   # Guards against: names and keys are compared as Latin-1 with what the pages give as text.
   Scenario Outline: A caller's <field> that is not ASCII is read as text
     Given a front end with small limits
--- a/features/steps/name_steps.py
+++ b/features/steps/name_steps.py
@@ -1,18 +1,26 @@
 """Steps for names that are not ASCII, or that HTTP cannot carry."""
 
 import asyncio
+import math
 from dataclasses import replace
 
 from behave import given, then, when
 from hypothesis import given as given_any, settings, strategies as st
+from tornado.httputil import HTTPHeaders
 
 from features.steps.connection_steps import AnswerReceiver
 from features.steps.platform_steps import start_request
 from pimentogap.directory import GroupView, group_name, model_of
+from pimentogap.forwarding._events import EventFilter
 from pimentogap.metrics import MetricService, Series
-from pimentogap.platform import HttpEngines, PlatformHeaders, decode_backend
+from pimentogap.platform import (
+    HttpEngines,
+    PlatformHeaders,
+    decode_backend,
+    decode_configuration,
+)
 from pimentogap.platform._text import decode_field
-from pimentogap.types import Backend, BackendState, StageWeights
+from pimentogap.types import Backend, BackendState, NamedLimit, StageWeights
 from pimentogap.web import BackendPool, HttpClient, encode_fields
 from standins.emulator import configuration_document
 
@@ -237,3 +245,95 @@
         assert model_of(name) == model == GroupView(name, epoch).model, name
 
     check()
+
+
+# What a library reads of a field: any bytes but controls, as Latin-1.
+FIELD_VALUES = st.one_of(
+    st.text(st.characters(max_codepoint=255, exclude_characters=CONTROLS)),
+    st.floats().map(str),
+    st.integers().map(str),
+    st.lists(st.integers(min_value=0)).map(lambda numbers: ",".join(map(str, numbers))),
+)
+REQUEST_FIELDS = (
+    "Authorization",
+    "Last-Event-Id",
+    "X-Pimentogap-Attempt-Id",
+    "X-Pimentogap-Deadline-Ms",
+    "X-Pimentogap-Model",
+    "X-Pimentogap-Prompt-Prefix",
+    "X-Pimentogap-Token-Count",
+)
+ANSWER_FIELDS = (
+    "At-Server",
+    "Retry-After",
+    "Server-Leaving",
+    "Server-Limit",
+    "X-Pimentogap-Attempt-Id",
+    "X-Pimentogap-Cold-Ms",
+    "X-Pimentogap-Replica-Load",
+)
+
+
+def head_of(names):
+    """Return a strategy of heads, each of the fields ``names`` with any value."""
+    fields = {name: FIELD_VALUES.map(str.strip) for name in names}
+    return st.fixed_dictionaries({}, optional=fields).map(HTTPHeaders)
+
+
+@then("any head of a request is decoded, and sent on or known not to be sendable")
+def then_request_heads(context):
+    codec = PlatformHeaders()
+
+    @settings(max_examples=EXAMPLES, derandomize=True, database=None)
+    @given_any(head_of(REQUEST_FIELDS))
+    def check(headers):
+        needs = codec.needs(headers)
+        assert needs.deadline_s is None or 0 <= needs.deadline_s < math.inf
+        pairs = codec.forwarded_headers(headers) + codec.attempt_headers(
+            backend=sample_backend("i-1"),
+            remaining_s=needs.deadline_s or 1.0,
+            workspace="w",
+            last_event_id=EventFilter(needs.last_event_id).last_id,
+        )
+        encode_fields("GET", pairs, b"")
+
+    check()
+
+
+@then("any head of an answer is decoded, with numbers that are finite")
+def then_answer_heads(context):
+    codec = PlatformHeaders()
+
+    @settings(max_examples=EXAMPLES, derandomize=True, database=None)
+    @given_any(st.integers(200, 599), head_of(ANSWER_FIELDS))
+    def check(status, headers):
+        answer = codec.decode_answer(status, headers)
+        assert answer.cold_left_s is None or math.isfinite(answer.cold_left_s)
+        match answer.limit:
+            case NamedLimit(per_s):
+                assert 0 <= per_s < math.inf
+
+    check()
+
+
+@then(
+    "names, hosts, prefixes and keys of any text are those of the decoded configuration"
+)
+def then_configuration_texts(context):
+    texts = st.text(min_size=1)
+
+    @settings(max_examples=EXAMPLES, derandomize=True, database=None)
+    @given_any(texts, texts, texts, texts, texts)
+    def check(name, host, prefix, key, workspace):
+        document = configuration_document(1, keys=(key,))
+        document["routes"][0] |= {"name": name, "host": host, "pathPrefix": prefix}
+        document["services"][1]["name"] = name
+        document["tenants"][0]["name"] = workspace
+        decoded = decode_configuration(document)
+        route = decoded.routes[0]
+        assert (route.name, route.host, route.path_prefix) == (name, host, prefix)
+        assert name in decoded.services_by_name
+        assert decoded.workspaces_by_key == {key: workspace}
+        assert route in decoded.routes_by_host[host.lower()]
+
+    check()
