Free what was read of a lost answer when its attempt ends

Cause: an attempt's error was kept by the object that the error's traceback names. Each body of up to 1 MiB stayed in that cycle until the collector came by, while the account counted it as given back. Change: errors keep no traceback and are handed over, not kept; an attempt drops its body when it ends.

--- a/pimentogap/forwarding/_receiver.py
+++ b/pimentogap/forwarding/_receiver.py
@@ -290,6 +290,11 @@
             self._buffer.release()
         await response.write(chunk)
 
+    def discard(self):
+        """Drop what is buffered, since the caller does not get it."""
+        self._body = bytearray()
+        self._buffer.release()
+
     def _take_body(self):
         body, self._body = self._body, bytearray()
         return body
--- a/pimentogap/forwarding/_service.py
+++ b/pimentogap/forwarding/_service.py
@@ -406,7 +406,7 @@
         if isinstance(outcome, NotSent | NotRun | Unsendable | Withheld):
             attempts.possible_runs -= 1
         if not isinstance(outcome, Failure):
-            attempts.buffer.release()
+            receiver.discard()
         self._admission.record_end(attempts.claim)
         if receiver.first_event_at is not None:
             waited_s = receiver.first_event_at - began_at
--- a/pimentogap/web/_client.py
+++ b/pimentogap/web/_client.py
@@ -129,9 +129,15 @@
         self.finished = False
 
     def _fail(self, error):
-        self.error = error
+        # The frames that its traceback names hold what has been read.
+        self.error = error.with_traceback(None)
         self._stream.close()
 
+    def take_error(self):
+        """Return the error, which is not kept, so that it refers to nothing in turn."""
+        error, self.error = self.error, None
+        return error
+
 
 class _HeadDelegate(HTTPMessageDelegate):
     """Reads the status and headers, and detaches the stream before the body."""
@@ -258,13 +264,15 @@
             await self._transfer(stream, address, request, delegate)
         except ResponseLost:
             stream.close()
-            raise delegate.error or ResponseLost(f"{address} closed the connection")
+            lost = ResponseLost(f"{address} closed the connection")
+            raise delegate.take_error() or lost from None
         except BaseException:
             stream.close()
             raise
         if not delegate.finished:
             stream.close()
-            raise delegate.error or ResponseLost(f"{address} closed the connection")
+            lost = ResponseLost(f"{address} closed the connection")
+            raise delegate.take_error() or lost
         if fresh or not delegate.keep_alive or not stream.is_quiet():
             stream.close()
         else:
--- a/pimentogap/web/_pool.py
+++ b/pimentogap/web/_pool.py
@@ -115,10 +115,16 @@
         if not isinstance(error, PimentogapError | asyncio.CancelledError):
             log.error("answer not usable", exc_info=error)
             error = ResponseLost(f"the answer is not usable: {error!r}")
-        # The pool raises it once tornado has returned from `read_response`.
-        self.error = error
+        # The pool raises it once tornado has returned from `read_response`. The frames
+        # that its traceback names hold what has been read.
+        self.error = error.with_traceback(None)
         self.stream.close()
 
+    def take_error(self):
+        """Return the error, which is not kept, so that it refers to nothing in turn."""
+        error, self.error = self.error, None
+        return error
+
 
 class _Connection:
     """A connection, and the ids of the attempts that it has carried.
@@ -262,9 +268,10 @@
         except StreamClosedError as error:
             if reused and not delegate.began:
                 raise ReusedConnectionClosed(f"the kept connection ended: {error}")
-            raise delegate.error or ResponseLost(f"the connection ended: {error}")
+            lost = ResponseLost(f"the connection ended: {error}")
+            raise delegate.take_error() or lost from None
         if delegate.error is not None:
-            raise delegate.error
+            raise delegate.take_error()
         if not delegate.finished or not delegate.owned or stream.error is not None:
             if reused and not delegate.began:
                 raise ReusedConnectionClosed("the kept connection ended")
