--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -75,7 +75,15 @@
         self._writers = set()
 
     async def listen(self, ip, port):
-        self._server = await asyncio.start_server(self._serve, ip, port)
+        self._server = await asyncio.start_server(
+            self._serve, ip, port, backlog=1024, reuse_address=True
+        )
+
+    def crash(self):
+        """Stop listening and reset every connection."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -87,7 +95,12 @@
                 answer = await self._answer(method, target, headers, body, peer)
                 if answer is None:
                     break
-                writer.write(answer)
+                if isinstance(answer, bytes):
+                    writer.write(answer)
+                else:
+                    async for part in answer:
+                        writer.write(part)
+                        await writer.drain()
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -209,12 +222,31 @@
         self.born = int(time.time() * 1000)
         self.written_at = 0.0
         self.arrivals = []
-        self.decide = lambda replica, peer: None
+        self.decide = lambda replica, machine: None
+        self.cold_left_ms = lambda: 0
+        self.queue = None
+        self._server = None
+        # With ids, it answers with a stream of events that have these, one each
+        # ``event_gap_s``.
+        self.event_ids = None
+        self.event_gap_s = 0.1
 
     async def start(self):
-        await Server(self.answer).listen(self.ip, self.port)
+        self._server = Server(self.answer)
+        await self._server.listen(self.ip, self.port)
         asyncio.ensure_future(self._beat())
 
+    async def crash(self, down_s):
+        """End the process, and start it again under the same id and address."""
+        self.bed.record.write("crashes", replica=self.id)
+        self._server.crash()
+        self.running = 0
+        await asyncio.sleep(down_s)
+        self.born = int(time.time() * 1000)
+        self._server = Server(self.answer)
+        await self._server.listen(self.ip, self.port)
+        self.bed.record.write("starts-again", replica=self.id, born=self.born)
+
     async def _beat(self):
         seq = 0
         store, record = self.bed.store, self.bed.record
@@ -239,7 +271,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_left_ms(),
             "seq": seq,
             "born": self.born,
         }
@@ -249,7 +281,10 @@
         if headers.get("x-pimentogap-expect-replica", self.id) != self.id:
             return encode_answer(421, {"X-Pimentogap-Replica-Id": self.id})
         if not id_:
-            return encode_answer(200, {"X-Pimentogap-Replica-Id": self.id})
+            health = {"X-Pimentogap-Replica-Id": self.id}
+            if left_ms := self.cold_left_ms():
+                health["X-Pimentogap-Cold-Ms"] = str(left_ms)
+            return encode_answer(200, health)
         record = self.bed.record
         # All connections come from one loopback address; the caller knows the machine.
         machine = self.bed.machine_by_id.get(id_, "-")
@@ -266,9 +301,15 @@
             extra = {"X-Pimentogap-Not-Executed": "1", **extra}
             record.write("rejected", replica=self.id, machine=machine, id=id_, **extra)
             return encode_answer(status, {**echo, **extra})
+        if self.event_ids is not None:
+            return self._stream(id_, machine, headers, {**echo, **extra})
         self.running += 1
         try:
-            await asyncio.sleep(self.work_s)
+            if self.queue is None:
+                await asyncio.sleep(self.work_s)
+            else:
+                async with self.queue:
+                    await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
         record.write("run", replica=self.id, machine=machine, id=id_, **extra)
@@ -276,6 +317,26 @@
         return encode_answer(200, {**echo, **extra, **seal}, f"{id_} {self.id}".encode())
 
 
+    async def _stream(self, id_, machine, headers, fields):
+        """Answer with the events whose ids are ``event_ids``, in chunks."""
+        begun_after = int(headers.get("last-event-id") or 0)
+        fields |= {
+            "X-Pimentogap-Replica-Seal": f"seal-{self.id}-{id_}",
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        lines = [f"{name}: {value}" for name, value in fields.items()]
+        yield "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode("latin-1")
+        for number in self.event_ids:
+            if number <= begun_after:
+                continue
+            await asyncio.sleep(self.event_gap_s)
+            event = f"id: {number}\ndata: {id_}/{number}\n\n".encode()
+            yield b"%x\r\n%s\r\n" % (len(event), event)
+        yield b"0\r\n\r\n"
+        self.bed.record.write("run", replica=self.id, machine=machine, id=id_)
+
+
 class Daemon:
     """One daemon of the project, as a separate process."""
 
@@ -345,7 +406,7 @@
             "contracts": ["base", "drain", "config", "cost", "retry", "recover"]
             + ["engine", "stream", "tenants", "platform", "gangs"],
             "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": bounds,
+            "bounds": bounds | self.bed.bounds,
             "platformInfo": {
                 "addr": self.bed.store_address,
                 "form": "objects",
@@ -397,7 +458,8 @@
 class Bed:
     """Everything of one case. ``folder`` is temporary."""
 
-    def __init__(self, case_folder, daemons=3):
+    def __init__(self, case_folder, daemons=3, bounds=None):
+        self.bounds = bounds or {}
         self.record = Record(Path(case_folder) / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.random = random.Random(7)
@@ -497,7 +559,7 @@
         return status, headers
 
     async def load(self, method, path, *, per_s, for_s, deadline_ms=2500):
-        """Send ``per_s`` requests a second, spread over all daemons, for ``for_s``."""
+        """Send ``per_s`` requests a second to all daemons in turn, for ``for_s``."""
         tasks = set()
         began = time.monotonic()
         count = int(per_s * for_s)
