--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -558,6 +558,44 @@
         self.answers.append((sent_at, answered_at, daemon.name, status, headers))
         return status, headers
 
+    async def ask_stream(self, daemon, path, *, deadline_ms=6000):
+        """Send one request for a stream; return whether its answer was complete."""
+        id_ = f"{self.random.getrandbits(64):016x}"
+        self.machine_by_id[id_] = daemon.name
+        self.record.write("sent", id=id_, machine=daemon.name, path=path)
+        head = [
+            f"POST {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Pimentogap-Attempt-Id: {id_}",
+            f"X-Pimentogap-Deadline-Ms: {deadline_ms}",
+            f"Authorization: Bearer {KEY}",
+            "Content-Length: 2",
+            "",
+            "hi",
+        ]
+        received, writer = b"", None
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + 0.5):
+                reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
+                writer.write("\r\n".join(head).encode())
+                while not received.endswith(b"0\r\n\r\n"):
+                    part = await reader.read(65536)
+                    if not part:
+                        break
+                    received += part
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            if writer is not None:
+                writer.close()
+        status = received[9:12].decode() or "none"
+        is_whole = received.endswith(b"0\r\n\r\n")
+        events = received.count(b"data: ")
+        self.record.write(
+            "ended", id=id_, machine=daemon.name, status=status, events=events, whole=is_whole
+        )
+        return id_, status, events, is_whole
+
     async def load(self, method, path, *, per_s, for_s, deadline_ms=2500):
         """Send ``per_s`` requests a second to all daemons in turn, for ``for_s``."""
         tasks = set()
