--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A daemon is stopped in order while it passes on streams whose ids grow by five."""
+"""A prompt part that crashes replicas stands behind 32 others."""
 
 import asyncio
 import sys
@@ -7,44 +7,30 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
-from bed import Bed, route, run  # noqa: E402
+from bed import Bed, run  # noqa: E402
+from engines import (  # noqa: E402
+    DEADLY_PART,
+    EngineReplica,
+    add_models,
+    judge,
+    send_prompts,
+)
 
-# An event holds five tokens, and its id says how many came so far.
-EVENT_IDS = range(5, 105, 5)
-GRACE_S = 8.0
+SOUND_PARTS = [f"{number:08x}" for number in range(35)]
+POSITION = 32
 
 
 async def main(trouble):
     bed = Bed(FOLDER, daemons=3)
     try:
-        for _ in range(3):
-            replica = bed.add_replica("app", slots=20)
-            replica.event_ids = EVENT_IDS
-        draft = route(
-            "draft", "/draft/", "streaming", "app", timeout_ms=6000, target_ms=500
-        )
-        bed.configure(7, [draft | {"targetGapMs": 300}], [{"name": "app", "maxConns": 200}])
-        await bed.start()
-        await asyncio.sleep(4)
-        daemon = bed.daemons[0]
-        streams = [
-            asyncio.ensure_future(bed.ask_stream(daemon, "/draft/x")) for _ in range(10)
-        ]
-        await asyncio.sleep(0.05)
-        if trouble:
-            bed.record.write("sigterm", machine=daemon.name)
-            daemon.process.terminate()
-        results = await asyncio.gather(*streams)
+        replicas = add_models(bed, EngineReplica)
         if trouble:
-            await asyncio.wait_for(daemon.process.wait(), GRACE_S + 1)
-        arrived = {id_ for replica in bed.replicas for _, _, id_ in replica.arrivals}
-        cut = [r for r in results if not r[3] and r[0] in arrived]
-        events = sorted({r[2] for r in cut})
-        print(f"{len(cut)} of {len(results)} streams were cut, after {events} events")
-        if not trouble:
-            print("there was no planned work, so the rule says nothing of them")
-        bed.record.write("judged", cut=len(cut), planned=trouble)
-        return trouble and bool(cut)
+            for replica in replicas:
+                replica.is_deadly = lambda parts: DEADLY_PART in parts
+        await bed.start()
+        await asyncio.sleep(8)
+        sent = await send_prompts(bed, replicas, SOUND_PARTS, POSITION, for_s=40)
+        return judge(bed, replicas, *sent)
     finally:
         bed.end()
 
--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -225,6 +225,7 @@
         self.decide = lambda replica, machine: None
         self.cold_left_ms = lambda: 0
         self.queue = None
+        self.is_down = False
         self._server = None
         # With ids, it answers with a stream of events that have these, one each
         # ``event_gap_s``.
@@ -252,7 +253,9 @@
         store, record = self.bed.store, self.bed.record
         while True:
             seq += 1
-            if not self.is_cut:
+            if self.is_down:
+                pass
+            elif not self.is_cut:
                 if self.id not in store.kinds.get("servers", {}):
                     record.write("entry-written", replica=self.id)
                 store.put("servers", self.id, self.entry(seq))
@@ -483,12 +486,13 @@
             probe.bind((ip, 0))
             return probe.getsockname()[1]
 
-    def add_replica(self, service, *, slots=6, work_s=0.045):
+    def add_replica(self, service, *, slots=6, work_s=0.045, kind=Replica, **fields):
         number = len(self.replicas)
         ip = f"{self.net}.{100 + number}"
         id_ = f"i-{number:02d}c0ffee"
-        replica = Replica(
-            self, id_, service, ip, self._free_port(ip), slots=slots, work_s=work_s
+        port = self._free_port(ip)
+        replica = kind(
+            self, id_, service, ip, port, slots=slots, work_s=work_s, **fields
         )
         self.replicas.append(replica)
         return replica
@@ -558,7 +562,7 @@
         self.answers.append((sent_at, answered_at, daemon.name, status, headers))
         return status, headers
 
-    async def ask_stream(self, daemon, path, *, deadline_ms=6000):
+    async def ask_stream(self, daemon, path, *, deadline_ms=6000, headers=()):
         """Send one request for a stream; return whether its answer was complete."""
         id_ = f"{self.random.getrandbits(64):016x}"
         self.machine_by_id[id_] = daemon.name
@@ -569,6 +573,7 @@
             f"X-Pimentogap-Attempt-Id: {id_}",
             f"X-Pimentogap-Deadline-Ms: {deadline_ms}",
             f"Authorization: Bearer {KEY}",
+            *headers,
             "Content-Length: 2",
             "",
             "hi",
