--- a/review/common-3/bed.py
+++ b/review/common-3/bed.py
@@ -1,4 +1,4 @@
-"""A small test bed on loopback: the platform's store, replicas of plain services, callers.
+"""A small test bed on loopback: the platform's store, plain replicas and callers.
 
 It starts the project's daemons with the command of the deploy file. Only the standard
 library is used. All times are seconds of the monotonic clock since the bed started.
@@ -21,14 +21,20 @@
 ENTRY_LIFE_S = 3 * BEAT_S
 HOST = "callers.example"
 KEY = "key-of-w1"
-REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 421: "Misdirected"}
+REASONS = {
+    200: "OK",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    421: "Misdirected",
+}
 
 
 class Record:
     """Writes what was sent, answered and run to ``record.txt``."""
 
     def __init__(self, path):
-        self._file = open(path, "w", encoding="utf-8")
+        self._file = Path(path).open("w", encoding="utf-8")  # noqa: SIM115
         self._began = time.monotonic()
 
     def now(self):
@@ -317,8 +323,9 @@
             self.running -= 1
         record.write("run", replica=self.id, machine=machine, id=id_, **extra)
         seal = {"X-Pimentogap-Replica-Seal": f"seal-{self.id}-{id_}"}
-        return encode_answer(200, {**echo, **extra, **seal}, f"{id_} {self.id}".encode())
-
+        return encode_answer(
+            200, {**echo, **extra, **seal}, f"{id_} {self.id}".encode()
+        )
 
     async def _stream(self, id_, machine, headers, fields):
         """Answer with the events whose ids are ``event_ids``, in chunks."""
@@ -425,13 +432,15 @@
         path = self.bed.folder / f"{self.name}.yaml"
         path.write_text(json.dumps(self.settings()))
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         environment["PIMENTOGAP_CONFIG"] = str(path)
         environment["TMPDIR"] = str(self.bed.folder)
-        self.log = open(self.bed.folder / f"{self.name}.log", "wb")
+        self.log = (self.bed.folder / f"{self.name}.log").open("wb")  # noqa: SIM115
         self.process = await asyncio.create_subprocess_exec(
             shutil.which("python3"),
             "front.py",
@@ -545,7 +554,9 @@
         writer = None
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 0.5):
-                reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
+                reader, writer = await asyncio.open_connection(
+                    daemon.ip, daemon.ports[0]
+                )
                 writer.write("\r\n".join(head).encode())
                 first, headers, _ = await read_message(reader)
             status = int(first.split(" ")[1])
@@ -581,7 +592,9 @@
         received, writer = b"", None
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 0.5):
-                reader, writer = await asyncio.open_connection(daemon.ip, daemon.ports[0])
+                reader, writer = await asyncio.open_connection(
+                    daemon.ip, daemon.ports[0]
+                )
                 writer.write("\r\n".join(head).encode())
                 while not received.endswith(b"0\r\n\r\n"):
                     part = await reader.read(65536)
@@ -597,7 +610,12 @@
         is_whole = received.endswith(b"0\r\n\r\n")
         events = received.count(b"data: ")
         self.record.write(
-            "ended", id=id_, machine=daemon.name, status=status, events=events, whole=is_whole
+            "ended",
+            id=id_,
+            machine=daemon.name,
+            status=status,
+            events=events,
+            whole=is_whole,
         )
         return id_, status, events, is_whole
 
@@ -644,9 +662,15 @@
     }
 
 
+def _raise_exit(signal_number, frame):
+    raise SystemExit(2)
+
+
 def run(main):
     """Run ``main(trouble)``, which returns whether the rule was broken; exit."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # So that the daemons are ended when the case is.
+    signal.signal(signal.SIGTERM, _raise_exit)
     try:
         broken = asyncio.run(asyncio.wait_for(main(trouble), 115))
     except Exception as error:
@@ -654,6 +678,3 @@
         raise SystemExit(2)
     print("the rule was broken" if broken else "the rule held")
     raise SystemExit(1 if broken else 0)
-
-
-signal.signal(signal.SIGTERM, lambda *_: (_ for _ in ()).throw(SystemExit(2)))
--- a/review/common-3/engines.py
+++ b/review/common-3/engines.py
@@ -287,13 +287,15 @@
 
 
 def judge(bed, replicas, deadly_ids, sound_results):
-    """Return whether too many deadly requests reached replicas after the fifth crash."""
+    """Return whether too many deadly requests reached replicas."""
     crashes = sorted(at for replica in replicas for at in replica.crashes)
     arrivals = [at for r in replicas for at, _, id_ in r.arrivals if id_ in deadly_ids]
     late = []
     if len(crashes) >= 5:
         late = [at for at in arrivals if at > crashes[4] + STABLE_S]
-    print(f"{len(crashes)} crashes; {len(late)} requests with the part reached replicas")
+    print(
+        f"{len(crashes)} crashes; {len(late)} requests with the part reached replicas"
+    )
     print(f"later than {STABLE_S:g} s after the fifth crash, {ALLOWED} are allowed")
     print(f"{sum(sound_results)} of {len(sound_results)} sound streams were whole")
     bed.record.write("judged", crashes=len(crashes), late=len(late), allowed=ALLOWED)
